--- /dev/null
+++ b/src/brain.cpp
@@ -0,0 +1,563 @@
+// The decisions of a query router: where each part goes, when it gets a copy, what follows an outcome, when a
+// query ends, what is refused. Interface: brain.hpp. The caller holds queries and timers. It calls list() and
+// tick() as they fall due, take() for what comes in, then route() for each query that is new or due, settle()
+// for each outcome (already written into the call) and wait() for the time until route() must be asked again.
+// Every send an answer names is carried out. All tables and tuned values stand here; docs/design.md gives the
+// reasons.
+#include "brain.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <limits>
+#include <map>
+#include <random>
+#include <set>
+
+namespace yoketurn {
+namespace {
+
+constexpr double kPeriod = 0.1;          // of the periodic work
+constexpr double kWindow = 10;           // part latencies are kept for so long
+constexpr double kHedgeQuantile = 0.95;  // of the part latencies: the hedge delay
+constexpr double kStartShare = 0.25;     // of the SLO time: the hedge delay before anything is known
+constexpr double kStartWeight = 10;      // samples that the start value counts as
+constexpr double kCopyShare = 0.1;       // copies to parts sent, at most
+constexpr double kSmoothing = 0.2;       // weight of a new sample in a node's latency
+constexpr double kAverageWeight = 0.02;  // and in the average of all nodes
+constexpr double kDrift = 5;             // a silent node's latency nears the average with this time constant
+constexpr int kProbation = 3;            // bad outcomes in a row after which a node gets one call at a time
+constexpr double kTimeoutDelays = 2.5;   // a leaf call is timed out after so many hedge delays
+constexpr double kTimeoutShare = 0.33;   // but not before this share of the SLO time
+constexpr double kStrainWindow = 2.5;    // refusals look back so far
+constexpr double kStrainAim = 0.25;      // median part latency to SLO time above which queries are refused
+constexpr double kStrainGain = 0.4;      // rise of the refused share a second, a unit of relative excess
+constexpr double kMostRefused = 0.9;
+constexpr double kColdCaution = 0.6;  // of what a cold node may be sent by the rule
+constexpr double kRounding = 5e-5;    // weights of a step add up to 1 but for this
+
+constexpr double kNever = std::numeric_limits<double>::infinity();
+
+struct Sample {
+  double value;
+  bool censored;  // the true value is this or more: the call was cancelled, timed out or is still out
+};
+
+// Product-limit estimate of a quantile. Cancelled calls are the slow ones: to leave them out, or to take
+// their age for a latency, would pull the percentile down and so invite more copies.
+double quantile(std::vector<Sample>& samples, double share) {
+  std::sort(samples.begin(), samples.end(), [](const Sample& a, const Sample& b) {
+    return a.value != b.value ? a.value < b.value : a.censored < b.censored;
+  });
+  double above = 1;
+  for (std::size_t i = 0; i < samples.size(); ++i) {
+    if (!samples[i].censored) above *= 1 - 1.0 / static_cast<double>(samples.size() - i);
+    if (above <= 1 - share + 1e-9) return samples[i].value;
+  }
+  return samples.empty() ? 0 : samples.back().value;
+}
+
+bool never_ran(Outcome outcome) {
+  return outcome == Outcome::overloaded || outcome == Outcome::unreachable || outcome == Outcome::unsent;
+}
+
+bool may_have_run(const Call& call) {
+  return !never_ran(call.outcome);
+}
+
+bool pending(const Call& call) {
+  return call.outcome == Outcome::pending;
+}
+
+// Counts events in a sliding window.
+class Tally {
+ public:
+  void add(double now, double count = 1) {
+    events_.emplace_back(now, count);
+    total_ += count;
+  }
+  double within(double span, double now) {
+    while (!events_.empty() && events_.front().first < now - span) {
+      total_ -= events_.front().second;
+      events_.pop_front();
+    }
+    return events_.empty() ? 0 : total_;
+  }
+
+ private:
+  std::deque<std::pair<double, double>> events_;
+  double total_ = 0;
+};
+
+struct Node {
+  int zone = kNone;
+  int cell = 0;
+  bool up = false;
+  double born = 0;
+  double latency = 0;             // smoothed; 0: unheard
+  double heard = 0;               // when it last changed
+  int bad_row = 0;                // bad outcomes since the last success
+  std::map<int, int> groups;      // calls that wait there, by group, with their parts
+  std::multiset<double> waiting;  // when the parts that wait there were sent
+  int open_group = kNone;         // the call that parts sent at open_at may join
+  double open_at = -1;
+  Tally sent;       // parts, over the time in which a cold node may be pushed over
+  Tally completed;  // parts answered, over the window
+};
+
+struct VerticalState {
+  double slo, slo_stretch, utility, late_utility, window, least, whole, partial_earns;
+  Effect effect;
+  bool two_steps;
+  double delay;  // the hedge delay
+  std::deque<std::pair<double, Sample>> latencies;
+  std::multiset<double> waiting;  // when its parts that are out were sent
+  double query_work = 0;          // smoothed work of a query
+};
+
+struct Bucket {
+  double rate = 0;  // this router's part of the customer's share
+  double level = 0;
+  double filled = 0;
+};
+
+}  // namespace
+
+struct Brain::State {
+  std::vector<VerticalState> verticals;
+  std::vector<Bucket> customers;
+  std::vector<Node> nodes;
+  std::vector<std::vector<int>> by_cell;
+  int zone, max_calls, parts_a_call, cells, span;
+  bool may_copy, may_cancel, must_ask_list, utility_by_work;
+  double margin, stay_away, over_share;
+  double cold_time, cold_start, cold_rate, fall_time;
+  double extra_span, extra_free, extra_share;
+  std::ranlux24_base chance;
+  double average = 0;  // latency of a part, over all nodes
+  int next_group = 0;
+  Tally firsts, copies;  // over the window
+  Tally taken, extras;   // over the span of the budget
+  std::deque<std::pair<double, Sample>> strain_samples;
+  double refused = 0;       // share of the queries of average utility for their work that are refused
+  double mean_density = 0;  // utility for a unit of work, over all queries
+  double ticked, ask_after;
+
+  State(const Settings& s, std::uint64_t seed, double now);
+
+  VerticalState& of(const Query& q) { return verticals[static_cast<std::size_t>(q.vertical)]; }
+  Node& at(int node) { return nodes[static_cast<std::size_t>(node)]; }
+
+  double slo_end(const Query& q) {
+    const auto& v = of(q);
+    return std::min(q.taken + v.slo + v.slo_stretch * q.work, q.expires) - margin;
+  }
+  double last_end(const Query& q) { return q.expires - margin; }
+
+  void estimate(double now);
+  double latency(const Node& node, double now) const;
+  double score(const Node& node, double now);
+  int choose(const Query& q, const Leaf& leaf, bool copy, double now, double& best);
+  bool cold(const Node& node, double now) const { return node.born > 0 && now < node.born + cold_time; }
+  bool allowed(const Query& q, const Leaf& leaf, const Node& node, double now);
+  bool resendable(const Query& q, const Leaf& leaf, double now);
+  bool copy_due(const Query& q, const Leaf& leaf, double now);
+  Send commit(const Query& q, int leaf, int node, bool copy, double now);
+  double timeout(const Query& q, const Leaf& leaf, double now);
+  Answer ending(const Query& q, double now);
+  Answer give_up(const Query& q);
+  bool refuse(const Query& q, double now);
+  void learn(const Query& q, const Call& call, double now);
+};
+
+Brain::State::State(const Settings& s, std::uint64_t seed, double now)
+    : by_cell(static_cast<std::size_t>(s.cells)),
+      zone(s.zone),
+      max_calls(s.max_calls),
+      parts_a_call(s.parts_a_call),
+      cells(s.cells),
+      span(std::min(s.span, s.cells)),
+      may_copy(s.may_copy),
+      may_cancel(s.may_cancel),
+      must_ask_list(s.must_ask_list),
+      utility_by_work(s.utility_by_work),
+      margin(0.02 + 2 * s.tick),
+      stay_away(s.max_stay_away),
+      over_share(s.over_share),
+      cold_time(s.cold_time),
+      cold_start(s.start_capacity),
+      cold_rate(kColdCaution * s.fall_multiple),
+      fall_time(s.fall_time),
+      extra_span(s.extra_span),
+      extra_free(s.extra_free),
+      extra_share(s.extra_share),
+      chance(static_cast<std::uint_fast32_t>(seed ^ (seed >> 32))),
+      ticked(now),
+      ask_after(now) {
+  for (const auto& v : s.verticals)
+    verticals.push_back({v.slo,
+                         v.slo_stretch,
+                         v.utility,
+                         v.late_utility,
+                         v.window,
+                         v.least,
+                         v.whole,
+                         v.partial_earns,
+                         v.effect,
+                         v.second_step > 0,
+                         kStartShare * v.slo,
+                         {},
+                         {}});
+  for (const auto& c : s.customers) {
+    const auto rate = c.quota / s.routers;
+    customers.push_back({rate, rate, now});
+  }
+}
+
+// The hedge delay of each vertical, and how strained the nodes are. Parts that are still out count with their
+// age: when all nodes slow together the answers that would show it are the ones not yet in.
+void Brain::State::estimate(double now) {
+  std::vector<Sample> strain;
+  while (!strain_samples.empty() && strain_samples.front().first < now - kStrainWindow)
+    strain_samples.pop_front();
+  for (const auto& [when, sample] : strain_samples) strain.push_back(sample);
+  for (auto& v : verticals) {
+    while (!v.latencies.empty() && v.latencies.front().first < now - kWindow) v.latencies.pop_front();
+    std::vector<Sample> samples;
+    for (const auto& [when, sample] : v.latencies) samples.push_back(sample);
+    for (const auto sent : v.waiting) {
+      samples.push_back({now - sent, true});
+      strain.push_back({(now - sent) / v.slo, true});
+    }
+    const auto many = static_cast<double>(v.latencies.size());
+    v.delay = (many * quantile(samples, kHedgeQuantile) + kStartWeight * kStartShare * v.slo) /
+              (many + kStartWeight);
+  }
+  const auto excess = std::clamp(quantile(strain, 0.5) / kStrainAim - 1, -1.0, 1.0);
+  refused = std::clamp(refused + kStrainGain * excess * (now - ticked), 0.0, kMostRefused);
+}
+
+// Smoothed latency, drifting to the average while the node is silent. A part that waits there for longer is a
+// better witness: a node that swallows its work must not look merely unheard.
+double Brain::State::latency(const Node& node, double now) const {
+  double value = average;
+  if (node.latency > 0) value += (node.latency - average) * std::exp(-(now - node.heard) / kDrift);
+  if (!node.waiting.empty()) value = std::max(value, now - *node.waiting.begin());
+  return std::max(value, 1e-3);
+}
+
+double Brain::State::score(const Node& node, double now) {
+  const auto joins = node.open_at == now && node.groups.contains(node.open_group) &&
+                     node.groups.at(node.open_group) < parts_a_call;
+  return latency(node, now) * static_cast<double>(node.groups.size() + (joins ? 0 : 1));
+}
+
+// The one guard that every send passes.
+bool Brain::State::allowed(const Query& q, const Leaf& leaf, const Node& node, double now) {
+  if (q.ended || leaf.in || now >= last_end(q)) return false;  // rule 1
+  if (static_cast<int>(leaf.calls.size()) >= max_calls) return false;
+  if (!leaf.calls.empty() && !resendable(q, leaf, now)) return false;  // rule 2
+  if (!node.up) return false;                                          // rule 3
+  if (cold(node, now)) {                                               // rule 4
+    double carried = 0;
+    double warm = 0;
+    for (auto& other : nodes) {
+      if (!other.up || cold(other, now)) continue;
+      carried += other.completed.within(kWindow, now) / kWindow;
+      ++warm;
+    }
+    // What an average warm node answers this router stands for this router's share of a node's capacity.
+    const auto share = cold_start + (1 - cold_start) * std::max(0.0, now - node.born) / cold_time;
+    const auto most = warm > 0 ? carried / warm * share * cold_rate * fall_time : 0;
+    if (const_cast<Node&>(node).sent.within(fall_time, now) + 1 > std::max(1.0, most)) return false;
+  }
+  if (!leaf.calls.empty() && extra_span > 0) {  // rule 6
+    const auto most = extra_free + extra_share * taken.within(extra_span - margin, now);
+    if (extras.within(extra_span + margin, now) + 1 > most) return false;
+  }
+  return true;
+}
+
+// Rule 2: whether a part that was sent before may be sent again.
+bool Brain::State::resendable(const Query& q, const Leaf& leaf, double now) {
+  const auto& v = of(q);
+  if (v.effect == Effect::repeatable) return true;
+  const auto first = std::find_if(leaf.calls.begin(), leaf.calls.end(), may_have_run);
+  if (first == leaf.calls.end()) return true;
+  return v.effect == Effect::deduplicated && now < first->sent + v.window - margin;
+}
+
+int Brain::State::choose(const Query& q, const Leaf& leaf, bool copy, double now, double& best) {
+  int chosen = kNone;
+  best = kNever;
+  const auto tried = [&](int node) {
+    return std::any_of(leaf.calls.begin(), leaf.calls.end(), [&](const Call& c) { return c.node == node; });
+  };
+  for (const bool again : {false, true}) {
+    if (again && (copy || chosen != kNone)) break;
+    for (int j = 0; j < span; ++j) {
+      for (const auto i : by_cell[static_cast<std::size_t>((leaf.shard + j) % cells)]) {
+        auto& node = at(i);
+        if (tried(i) != again || !allowed(q, leaf, node, now)) continue;
+        if (node.bad_row >= kProbation && !node.waiting.empty()) continue;
+        const auto value = score(node, now) * (node.zone == zone ? 1 : 1 + 1e-3) *
+                           (1 + 1e-6 * static_cast<double>(chance() % 1000));
+        if (value < best) {
+          best = value;
+          chosen = i;
+        }
+      }
+    }
+  }
+  return chosen;
+}
+
+bool Brain::State::copy_due(const Query& q, const Leaf& leaf, double now) {
+  return may_copy && of(q).effect == Effect::repeatable && leaf.calls.size() == 1 && pending(leaf.calls[0]) &&
+         now >= leaf.calls[0].sent + of(q).delay - 1e-6 && now < slo_end(q);
+}
+
+// A leaf call is given so long that after it another can still be in time; the last one has all the time
+// left.
+double Brain::State::timeout(const Query& q, const Leaf& leaf, double now) {
+  const auto& v = of(q);
+  const auto end = v.late_utility > 0 ? last_end(q) : slo_end(q);
+  if (v.effect == Effect::side_effecting || static_cast<int>(leaf.calls.size()) + 1 >= max_calls)
+    return end - now;
+  const auto patience = std::max(kTimeoutDelays * v.delay, kTimeoutShare * v.slo);
+  return now + patience + v.delay < slo_end(q) ? patience : end - now;
+}
+
+Send Brain::State::commit(const Query& q, int leaf_index, int node_index, bool copy, double now) {
+  const auto& leaf = q.leaves[static_cast<std::size_t>(leaf_index)];
+  auto& node = at(node_index);
+  const auto joins = node.open_at == now && node.groups.contains(node.open_group) &&
+                     node.groups.at(node.open_group) < parts_a_call;
+  if (!joins) node.open_group = next_group++;
+  node.open_at = now;
+  ++node.groups[node.open_group];
+  node.waiting.insert(now);
+  of(q).waiting.insert(now);
+  node.sent.add(now);
+  if (leaf.calls.empty()) firsts.add(now);
+  if (copy) copies.add(now);
+  if (!leaf.calls.empty()) extras.add(now);
+  return {leaf_index, node_index, node.open_group, timeout(q, leaf, now)};
+}
+
+Answer Brain::State::give_up(const Query& q) {
+  Answer answer;
+  // Rule 2: a rejection says that a retry is harmless.
+  const auto harmless = of(q).effect == Effect::repeatable ||
+                        std::all_of(q.leaves.begin(), q.leaves.end(), [](const Leaf& leaf) {
+                          return std::none_of(leaf.calls.begin(), leaf.calls.end(), may_have_run);
+                        });
+  answer.end = harmless ? End::reject : End::abort;
+  answer.stay_away = stay_away;
+  return answer;
+}
+
+// Whether the query ends now, and how.
+Answer Brain::State::ending(const Query& q, double now) {
+  const auto& v = of(q);
+  double in[2] = {0, 0};        // weight that is in, by step
+  double possible[2] = {0, 0};  // and that may still come
+  bool second_in = true;
+  for (const auto& leaf : q.leaves) {
+    const auto step = leaf.step - 1;
+    if (leaf.in) in[step] += leaf.weight;
+    second_in = second_in && (leaf.in || leaf.step == 1);
+    const auto out = std::any_of(leaf.calls.begin(), leaf.calls.end(), pending);
+    const auto more =
+        leaf.calls.empty() || (static_cast<int>(leaf.calls.size()) < max_calls && resendable(q, leaf, now));
+    if (leaf.in || out || more) possible[step] += leaf.weight;
+  }
+  if (q.awaited > 0) possible[q.step - 1] = 1;
+  Answer answer;
+  const auto now_in = in[q.step - 1];
+  const auto now_possible = possible[q.step - 1];
+  const auto whole = q.step == 1 ? now_in >= v.whole - kRounding : second_in && q.awaited == 0;
+  const auto enough =
+      q.awaited == 0 && now_in >= v.least - kRounding && (q.step == 1 || v.least < v.whole || second_in);
+  if (whole) {
+    answer.end = q.step == 1 || q.first_whole ? End::merge_whole : End::merge_part;
+    return answer;
+  }
+  const auto need = q.step == 1 ? v.whole : 1;
+  const auto settled = now_possible <= now_in + kRounding;  // nothing more can come
+  const auto late = now >= slo_end(q);
+  if (enough && (settled || now >= last_end(q) || (late && v.partial_earns * now_in > v.late_utility))) {
+    answer.end = End::merge_part;
+    return answer;
+  }
+  const auto least = v.least < v.whole ? v.least : need;
+  if (now_possible < least - kRounding || now >= last_end(q) || (late && v.late_utility <= 0))
+    return give_up(q);
+  return answer;
+}
+
+// Refusal by chance under strain, before work is sunk: the less utility a query brings for its work, the
+// likelier.
+bool Brain::State::refuse(const Query& q, double now) {
+  auto& v = of(q);
+  double work = q.work;
+  if (work <= 0) work = std::max(average, 1e-3) * static_cast<double>(q.leaves.size());
+  v.query_work = v.query_work > 0 ? v.query_work + kAverageWeight * (work - v.query_work) : work;
+  auto density = v.utility / (utility_by_work ? v.query_work : work);
+  if (q.customer != kNone) {
+    auto& bucket = customers[static_cast<std::size_t>(q.customer)];
+    bucket.level = std::min(bucket.level + (now - bucket.filled) * bucket.rate, bucket.rate);
+    bucket.filled = now;
+    if (bucket.level < 1) density *= over_share;
+    if (bucket.level >= 1) --bucket.level;
+  }
+  mean_density = mean_density > 0 ? mean_density + kAverageWeight * (density - mean_density) : density;
+  const auto share = std::min(refused * mean_density / std::max(density, 1e-9), 0.95);
+  return std::uniform_real_distribution<>(0, 1)(chance) < share;
+}
+
+// What an outcome tells of the node and of the latencies.
+void Brain::State::learn(const Query& q, const Call& call, double now) {
+  auto& v = of(q);
+  auto& node = at(call.node);
+  const auto took = now - call.sent;
+  if (const auto sent = node.waiting.find(call.sent); sent != node.waiting.end()) node.waiting.erase(sent);
+  if (const auto sent = v.waiting.find(call.sent); sent != v.waiting.end()) v.waiting.erase(sent);
+  if (const auto group = node.groups.find(call.group); group != node.groups.end() && --group->second <= 0)
+    node.groups.erase(group);
+  if (call.outcome == Outcome::unsent) return;
+  const auto good = call.outcome == Outcome::success;
+  const auto bound = call.outcome == Outcome::cancelled || call.outcome == Outcome::timed_out;
+  if (good || bound) {
+    v.latencies.push_back({now, {took, bound}});
+    strain_samples.push_back({now, {took / v.slo, bound}});
+  }
+  if (good) {
+    average = average > 0 ? average + kAverageWeight * (took - average) : took;
+    node.completed.add(now);
+    node.bad_row = 0;
+  } else if (call.outcome != Outcome::cancelled) {
+    ++node.bad_row;
+  }
+  const auto held = node.latency > 0
+                        ? average + (node.latency - average) * std::exp(-(now - node.heard) / kDrift)
+                        : average;
+  // A quick failure counts as the time it costs, not the time it took: else the node would look fast and draw
+  // all traffic. A cancelled or overdue call took at least its age.
+  const auto value = good ? took : bound ? std::max(took, held) : std::max(v.slo, held);
+  node.latency = held > 0 ? held + kSmoothing * (value - held) : value;
+  node.heard = now;
+}
+
+Brain::Brain(const Settings& settings, std::uint64_t seed, double now)
+    : s_(std::make_unique<State>(settings, seed, now)) {}
+Brain::~Brain() = default;
+Brain::Brain(Brain&&) noexcept = default;
+Brain& Brain::operator=(Brain&&) noexcept = default;
+
+Answer Brain::route(Query& q, double now) {
+  auto& s = *s_;
+  auto answer = s.ending(q, now);
+  if (answer.end != End::none || q.awaited > 0) return answer;
+  if (!q.admitted && s.refuse(q, now)) return s.give_up(q);
+  q.admitted = true;
+  for (std::size_t i = 0; i < q.leaves.size(); ++i) {
+    const auto& leaf = q.leaves[i];
+    if (leaf.in) continue;
+    const auto copy = s.copy_due(q, leaf, now);
+    if (!copy && std::any_of(leaf.calls.begin(), leaf.calls.end(), pending)) continue;
+    if (copy && s.copies.within(kWindow, now) + 1 > kCopyShare * s.firsts.within(kWindow, now)) continue;
+    double best = 0;
+    const auto node = s.choose(q, leaf, copy, now, best);
+    if (node == kNone) continue;
+    // A copy helps where the other replica can be expected to answer within the very delay that made this one
+    // late. When all are slow, or the others queue too, it would only add to the load.
+    if (copy && best > s.of(q).delay) continue;
+    answer.sends.push_back(s.commit(q, static_cast<int>(i), node, copy, now));
+  }
+  return answer;
+}
+
+Answer Brain::settle(Query& q, int leaf_index, int call_index, const Report&, double now) {
+  auto& s = *s_;
+  auto& leaf = q.leaves[static_cast<std::size_t>(leaf_index)];
+  const auto& call = leaf.calls[static_cast<std::size_t>(call_index)];
+  s.learn(q, call, now);
+  Answer answer;
+  if (call.outcome != Outcome::success || leaf.in) return answer;
+  leaf.in = true;
+  if (s.may_cancel)
+    for (std::size_t i = 0; i < leaf.calls.size(); ++i)
+      if (pending(leaf.calls[i])) answer.cancels.push_back({leaf_index, static_cast<int>(i)});
+  return answer;
+}
+
+double Brain::wait(const Query& q, double now) const {
+  auto& s = *s_;
+  const auto& v = s.of(q);
+  auto due = s.last_end(q);
+  if (now < s.slo_end(q)) due = std::min(due, s.slo_end(q));
+  for (const auto& leaf : q.leaves) {
+    if (leaf.in) continue;
+    if (std::none_of(leaf.calls.begin(), leaf.calls.end(), pending)) {
+      due = std::min(due, now + kPeriod);
+    } else if (s.may_copy && v.effect == Effect::repeatable && leaf.calls.size() == 1) {
+      const auto copy = leaf.calls[0].sent + v.delay;
+      due = std::min(due, copy > now ? copy : now + kPeriod);
+    }
+  }
+  return std::max(due - now, 1e-3);
+}
+
+void Brain::take(int requests, double now) {
+  s_->taken.add(now, requests);
+}
+
+void Brain::list(std::span<const Host> hosts, bool complete, double now) {
+  auto& s = *s_;
+  if (complete)
+    for (auto& node : s.nodes) node.up = false;
+  for (const auto& host : hosts) {
+    if (host.cell < 0 || host.cell >= s.cells) continue;
+    if (static_cast<std::size_t>(host.node) >= s.nodes.size())
+      s.nodes.resize(static_cast<std::size_t>(host.node) + 1);
+    auto& node = s.at(host.node);
+    auto& cell = s.by_cell[static_cast<std::size_t>(host.cell)];
+    if (std::find(cell.begin(), cell.end(), host.node) == cell.end()) {
+      std::erase(s.by_cell[static_cast<std::size_t>(node.cell)], host.node);
+      cell.push_back(host.node);
+    }
+    node.cell = host.cell;
+    node.zone = host.zone;
+    node.up = host.up;
+    if (host.born != node.born) {
+      node.latency = 0;  // a new process: what was learned of the old one says nothing
+      node.bad_row = 0;
+    }
+    node.born = host.born;
+  }
+  s.ask_after = kNever;
+  static_cast<void>(now);
+}
+
+void Brain::list_failed(double now) {
+  s_->ask_after = now + 2;
+}
+
+void Brain::probed(int, Outcome, double, const Report&, double) {}
+
+Chores Brain::tick(double now) {
+  auto& s = *s_;
+  s.estimate(now);
+  s.ticked = now;
+  Chores chores;
+  chores.ask_list = s.must_ask_list && now >= s.ask_after;
+  if (chores.ask_list) s.ask_after = now + 10;
+  return chores;
+}
+
+double Brain::period() const {
+  return kPeriod;
+}
+
+}  // namespace yoketurn
