--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -33,6 +33,8 @@
 constexpr double kStrainAim = 0.25;      // median part latency to SLO time above which queries are refused
 constexpr double kStrainGain = 0.4;      // rise of the refused share a second, a unit of relative excess
 constexpr double kMostRefused = 0.9;
+constexpr double kZoneTie = 0.001;    // by which a node elsewhere, at the same score, comes after one near by
+constexpr double kJoinTie = 0.002;    // and one that needs a call of its own after one with a call open
 constexpr double kColdCaution = 0.6;  // of what a cold node may be sent by the rule
 constexpr double kRounding = 5e-5;    // weights of a step add up to 1 but for this
 
@@ -156,6 +158,7 @@
 
   void estimate(double now);
   double latency(const Node& node, double now) const;
+  bool joins(const Node& node, double now) const;
   double score(const Node& node, double now);
   int choose(const Query& q, const Leaf& leaf, bool copy, double now, double& best);
   bool cold(const Node& node, double now) const { return node.born > 0 && now < node.born + cold_time; }
@@ -233,7 +236,8 @@
     v.delay = (many * quantile(samples, kHedgeQuantile) + kStartWeight * kStartShare * v.slo) /
               (many + kStartWeight);
   }
-  const auto excess = std::clamp(quantile(strain, 0.5) / kStrainAim - 1, -1.0, 1.0);
+  const auto known = static_cast<double>(strain.size()) >= kStartWeight;
+  const auto excess = known ? std::clamp(quantile(strain, 0.5) / kStrainAim - 1, -1.0, 1.0) : -1;
   refused = std::clamp(refused + kStrainGain * excess * (now - ticked), 0.0, kMostRefused);
 }
 
@@ -246,10 +250,14 @@
   return std::max(value, 1e-3);
 }
 
+// Whether a part sent there now travels in a call that stands open.
+bool Brain::State::joins(const Node& node, double now) const {
+  const auto open = node.groups.find(node.open_group);
+  return node.open_at == now && open != node.groups.end() && open->second < parts_a_call;
+}
+
 double Brain::State::score(const Node& node, double now) {
-  const auto joins = node.open_at == now && node.groups.contains(node.open_group) &&
-                     node.groups.at(node.open_group) < parts_a_call;
-  return latency(node, now) * static_cast<double>(node.groups.size() + (joins ? 0 : 1));
+  return latency(node, now) * static_cast<double>(node.groups.size() + (joins(node, now) ? 0 : 1));
 }
 
 // The one guard that every send passes.
@@ -300,7 +308,8 @@
         auto& node = at(i);
         if (tried(i) != again || !allowed(q, leaf, node, now)) continue;
         if (node.bad_row >= kProbation && !node.waiting.empty()) continue;
-        const auto value = score(node, now) * (node.zone == zone ? 1 : 1 + 1e-3) *
+        const auto value = score(node, now) * (node.zone == zone ? 1 : 1 + kZoneTie) *
+                           (joins(node, now) ? 1 - kJoinTie : 1) *
                            (1 + 1e-6 * static_cast<double>(chance() % 1000));
         if (value < best) {
           best = value;
@@ -331,9 +340,7 @@
 Send Brain::State::commit(const Query& q, int leaf_index, int node_index, bool copy, double now) {
   const auto& leaf = q.leaves[static_cast<std::size_t>(leaf_index)];
   auto& node = at(node_index);
-  const auto joins = node.open_at == now && node.groups.contains(node.open_group) &&
-                     node.groups.at(node.open_group) < parts_a_call;
-  if (!joins) node.open_group = next_group++;
+  if (!joins(node, now)) node.open_group = next_group++;
   node.open_at = now;
   ++node.groups[node.open_group];
   node.waiting.insert(now);
--- /dev/null
+++ b/tests/brain_test.cpp
@@ -0,0 +1,295 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "support.hpp"
+
+using namespace yoketurn;
+using namespace yoketurn::test;
+
+TEST_SUITE_BEGIN("brain");
+
+TEST_CASE("a part is copied once after the hedge delay, where its vertical is repeatable") {
+  struct Row {
+    int vertical;
+    double after;
+    int copies;
+  };
+  for (const auto& row : {Row{0, 0.24, 0}, Row{0, 0.26, 1}, Row{1, 0.26, 0}, Row{2, 0.26, 0}}) {
+    CAPTURE(row.vertical);
+    CAPTURE(row.after);
+    Rig rig;
+    for (int i = 0; i < 20; ++i) {  // sends that the cap counts
+      auto other = rig.query(0, 1);
+      rig.route(other);
+      rig.settle(other, 0, Outcome::success);
+    }
+    auto q = rig.query(row.vertical, 1);
+    REQUIRE(rig.route(q).sends.size() == 1);
+    rig.now += row.after;
+    const auto answer = rig.route(q);
+    REQUIRE(static_cast<int>(answer.sends.size()) == row.copies);
+    if (row.copies == 0) continue;
+    CHECK(answer.sends[0].node != q.leaves[0].calls[0].node);
+    rig.now += 0.2;
+    CHECK(rig.route(q).sends.empty());
+    const auto won = rig.settle(q, 0, Outcome::success, 1);
+    REQUIRE(won.cancels.size() == 1);
+    CHECK(won.cancels[0].call == 0);
+    CHECK(rig.route(q).end == End::merge_whole);
+  }
+}
+
+TEST_CASE("copies stay within a tenth of the parts sent") {
+  Rig rig(settings(), 60);
+  std::vector<Query> queries;
+  for (int i = 0; i < 40; ++i) {
+    auto q = rig.query(0, 1);
+    rig.route(q);
+    rig.settle(q, 0, Outcome::success);
+  }
+  for (int i = 0; i < 20; ++i) {
+    queries.push_back(rig.query(0, 1));
+    rig.route(queries.back());
+  }
+  rig.now += 0.26;
+  int copies = 0;
+  for (auto& q : queries) copies += static_cast<int>(rig.route(q).sends.size());
+  CHECK(copies <= 6);
+  CHECK(copies >= 1);
+}
+
+TEST_CASE("cancelled calls count as slow: copying must not pull the hedge delay down") {
+  Rig rig;
+  for (int i = 0; i < 100; ++i) {
+    auto q = rig.query(0, 1);
+    rig.route(q);
+    rig.pass(0.1);
+    if (i % 5 != 0) {
+      rig.settle(q, 0, Outcome::success);
+      continue;
+    }
+    rig.pass(0.2);
+    rig.settle(q, 0, Outcome::cancelled);
+  }
+  rig.pass(0.1);
+  auto q = rig.query(0, 1);
+  rig.route(q);
+  rig.now += 0.29;
+  CHECK(rig.route(q).sends.empty());
+}
+
+TEST_CASE("sends go to the lowest latency times waiting, and a bad node is left alone") {
+  for (const auto bad : {Outcome::failure, Outcome::overloaded, Outcome::unreachable, Outcome::timed_out}) {
+    CAPTURE(static_cast<int>(bad));
+    Rig rig;
+    rig.serve(30, 0.1);
+    int to_bad = 0;
+    for (int i = 0; i < 60; ++i) {
+      auto q = rig.query(0, 1);
+      const auto first = rig.route(q).sends.at(0).node;
+      to_bad += first == 0;
+      if (first == 0) rig.now += bad == Outcome::timed_out ? 0.5 : 0.005;
+      if (first == 0) rig.settle(q, 0, bad);
+      if (first == 0) rig.route(q);
+      rig.pass(0.1);
+      rig.settle(q, 0, Outcome::success);
+    }
+    CHECK(to_bad <= 10);
+    CHECK(to_bad >= 1);
+  }
+}
+
+TEST_CASE("a node that swallows its parts gets no more, though it never failed") {
+  Rig rig;
+  rig.serve(30, 0.1);
+  std::vector<Query> swallowed;
+  for (int i = 0; i < 60; ++i) {
+    auto q = rig.query(2, 1);
+    const auto first = rig.route(q).sends.at(0).node;
+    rig.pass(0.1);
+    if (first == 0)
+      swallowed.push_back(q);
+    else
+      rig.settle(q, 0, Outcome::success);
+  }
+  CHECK(swallowed.size() <= 4);
+}
+
+TEST_CASE("rule 1: nothing is sent after the end, and every query ends before its time") {
+  for (const int vertical : {0, 1, 2}) {
+    Rig rig;
+    auto q = rig.query(vertical, 2, 0.6);
+    rig.route(q);
+    double due = 0;
+    while (!q.ended && due < 10) {
+      const auto wait = rig.brain.wait(q, rig.now);
+      due += wait;
+      rig.now += wait;
+      rig.route(q);
+    }
+    CHECK(due < 0.6);
+    rig.settle(q, 0, Outcome::failure);
+    CHECK(rig.route(q).sends.empty());
+  }
+}
+
+TEST_CASE("rule 2: what may have run is not repeated beyond its vertical") {
+  struct Row {
+    int vertical;
+    Outcome outcome;
+    double after;
+    bool resent;
+    End end;
+  };
+  const Row rows[] = {
+      {0, Outcome::failure, 0.1, true, End::reject},    {1, Outcome::failure, 0.1, true, End::abort},
+      {1, Outcome::failure, 1.99, false, End::abort},   {1, Outcome::overloaded, 1.99, true, End::reject},
+      {2, Outcome::failure, 0.1, false, End::abort},    {2, Outcome::broken, 0.1, false, End::abort},
+      {2, Outcome::timed_out, 0.1, false, End::abort},  {2, Outcome::cancelled, 0.1, false, End::abort},
+      {2, Outcome::overloaded, 0.1, true, End::reject}, {2, Outcome::unreachable, 0.1, true, End::reject},
+      {2, Outcome::unsent, 0.1, true, End::reject},
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.vertical);
+    CAPTURE(static_cast<int>(row.outcome));
+    Rig rig;
+    auto q = rig.query(row.vertical, 1);
+    rig.route(q);
+    rig.now += row.after;
+    rig.settle(q, 0, row.outcome);
+    const auto answer = rig.route(q);
+    CHECK(answer.sends.size() == (row.resent ? 1 : 0));
+    for (int i = 0; i < 5 && !q.ended; ++i) {
+      rig.settle(q, 0, row.outcome);
+      rig.route(q);
+    }
+    if (!q.ended) rig.now = q.expires;
+    const auto end = q.ended ? answer.end : rig.route(q).end;
+    if (end != End::none) CHECK(end == row.end);
+  }
+}
+
+TEST_CASE("rule 3: a draining or missing node gets nothing") {
+  for (const bool complete : {false, true}) {
+    Rig rig;
+    std::vector<Host> news{{0, 0, 0, false, 1, 0}};
+    if (complete) news = {rig.hosts[1], rig.hosts[2]};
+    rig.brain.list(news, complete, rig.now);
+    CHECK(rig.serve(30, 0.05)[0] == 0);
+  }
+}
+
+TEST_CASE("rule 4: a cold node gets this router's share of what it can bear") {
+  Rig rig;
+  rig.serve(100, 0.05);  // 20 a second, 6.7 a node
+  rig.hosts[0].born = rig.now;
+  rig.brain.list(rig.hosts, true, rig.now);
+  CHECK(rig.serve(20, 0.05)[0] <= 3);
+  rig.now += 11;
+  CHECK(rig.serve(200, 0.05)[0] > 30);
+}
+
+TEST_CASE("rule 5: merged whole only if whole, in part only from the least share") {
+  struct Row {
+    int in;
+    End before, after;  // the SLO time
+  };
+  auto s = settings();
+  s.verticals[0].late_utility = 0;
+  s.verticals[0].least = 0.5;
+  s.verticals[0].partial_earns = 0.9;
+  for (const auto& row : {Row{1, End::none, End::reject}, Row{2, End::none, End::merge_part},
+                          Row{4, End::merge_whole, End::merge_whole}}) {
+    CAPTURE(row.in);
+    for (const bool late : {false, true}) {
+      Rig rig(s);
+      auto q = rig.query(0, 4);
+      rig.route(q);
+      for (int i = 0; i < row.in; ++i) rig.settle(q, i, Outcome::success);
+      if (late) rig.now += 0.98;
+      CHECK(rig.route(q).end == (late ? row.after : row.before));
+    }
+  }
+}
+
+TEST_CASE("a second step is whole only after a whole first one") {
+  auto s = settings();
+  s.verticals[0].second_step = 1;
+  for (const bool first_whole : {false, true}) {
+    Rig rig(s);
+    auto q = rig.query(0, 1);
+    q.step = 2;
+    q.first_whole = first_whole;
+    q.leaves[0].in = true;
+    q.awaited = 1;
+    CHECK(rig.route(q).end == End::none);
+    q.leaves.push_back({0, 1, 0, 2, false, {}});
+    q.awaited = 0;
+    CHECK(rig.route(q).sends.size() == 1);
+    rig.settle(q, 1, Outcome::success);
+    CHECK(rig.route(q).end == (first_whole ? End::merge_whole : End::merge_part));
+  }
+}
+
+TEST_CASE("rule 6: further leaf calls stay within the budget of the span") {
+  auto s = settings();
+  s.extra_span = 10;
+  s.extra_free = 2;
+  s.extra_share = 0.1;
+  Rig rig(s);
+  int extra = 0;
+  for (int i = 0; i < 20; ++i) {  // takes 40 queries and parts: 2 + 4 further calls
+    auto q = rig.query(0, 1);
+    rig.route(q);
+    rig.settle(q, 0, Outcome::failure);
+    extra += static_cast<int>(rig.route(q).sends.size());
+  }
+  CHECK(extra == 6);
+  rig.now += 11;
+  auto q = rig.query(0, 1);
+  rig.route(q);
+  rig.settle(q, 0, Outcome::failure);
+  CHECK(rig.route(q).sends.size() == 1);
+}
+
+TEST_CASE("parts of one query that go to one node share a call") {
+  auto s = settings();
+  s.parts_a_call = 4;
+  Rig rig(s);
+  auto q = rig.query(0, 3);
+  const auto answer = rig.route(q);
+  REQUIRE(answer.sends.size() == 3);
+  int together = 0;
+  for (const auto& a : answer.sends)
+    for (const auto& b : answer.sends) {
+      CHECK((a.group == b.group) <= (a.node == b.node));
+      together += &a != &b && a.group == b.group;
+    }
+  CHECK(together > 0);
+}
+
+TEST_CASE("under strain queries are refused, those of less utility for their work more often") {
+  auto s = settings();
+  s.verticals[1].utility = 4;
+  Rig rig(s);
+  for (int round = 0; round < 5; ++round) {
+    std::vector<Query> queries(30, rig.query(0, 1));
+    for (auto& q : queries) rig.route(q);
+    rig.pass(0.9);
+    for (auto& q : queries)
+      if (!q.ended) rig.settle(q, 0, Outcome::success);
+  }
+  int refused[2] = {0, 0};
+  for (int i = 0; i < 400; ++i) {
+    auto q = rig.query(i % 2, 1);
+    const auto answer = rig.route(q);
+    refused[i % 2] += answer.end == End::reject;
+    CHECK((answer.end == End::reject) == answer.sends.empty());
+    if (!q.ended) rig.settle(q, 0, Outcome::cancelled);
+  }
+  CHECK(refused[0] > 20);
+  CHECK(refused[1] < refused[0]);
+}
+
+TEST_CASE("the same events give the same actions") {
+  Rig a, b;
+  CHECK(a.serve(200, 0.03) == b.serve(200, 0.03));
+}
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,106 @@
+#include <sstream>
+
+#include "support.hpp"
+#include "wire/host.hpp"
+
+using namespace yoketurn;
+
+namespace {
+
+const std::string kSetup =
+    "balancers=3 bounds.cancel=true bounds.max_attempts=3 bounds.may_duplicate=true bounds.probes=true "
+    "bounds.retry_after=true bounds.max_retry_after_us=500000 classes.count=1 classes.0.aim_us=1000000 "
+    "classes.0.credit=1 classes.0.deadline_us=4000000 classes.0.late_worth=0.5 classes.0.name=look "
+    "classes.0.semantics=safe contract.cold_us=9000000 contract.fall_multiple=2 "
+    "contract.overload_for_us=1000000 "
+    "contract.start_capacity=0.3 customers= discovery=push domain.min_share=1 domain.partial_earns=1 "
+    "domain.parts_a_call=1 domain.places=1 domain.second_step=0 domain.span=1 domain.whole_at=1 "
+    "resolution_us=5000 worth_by=request zone=a zones=a,b some.new.setting=7";
+
+const std::string kStart = "frame 1000000 1\nopen_instance router-0 18446744073709551615 " + kSetup +
+                           "\ninventory 0 1\nnode 9 a kind 0 U 1 -\nmembership router-0 warm_copy 0 1\ngo\n";
+const std::string kQuery =
+    "demand router-0 50 look - - 5000000 - 3 -1 1 0\ndemand router-0 51 look - - 5000000 - 3 0 1 0\n";
+
+struct Talk {
+  std::string out, log;
+};
+
+Talk talk(const std::string& in) {
+  std::istringstream input(in);
+  std::ostringstream out, log;
+  wire::Host().run(input, out, log);
+  return {out.str(), log.str()};
+}
+
+bool has(const std::string& text, const std::string& what) {
+  return text.find(what) != std::string::npos;
+}
+
+}  // namespace
+
+TEST_SUITE_BEGIN("wire");
+
+TEST_CASE("a query is sent, answered and forgotten") {
+  const auto said =
+      talk(kStart + "frame 1100000 2\n" + kQuery +
+           "go\nframe 1200000 3\nresponse router-0 51 0 9 success 100000 1 -\ngo\n"
+           "frame 1300000 4\nresponse router-0 51 0 9 success 100000 1 -\ngone router-0 50\ngo\n");
+  CHECK(has(said.out, "place router-0 51 "));
+  CHECK(has(said.out, "answer router-0 50 1\n"));
+  CHECK(has(said.out, "end 4\n"));
+  CHECK(said.log.empty());
+}
+
+TEST_CASE("bad input") {
+  struct Row {
+    const char* line;
+    const char* logged;  // nullptr: ignored quietly
+    const char* said;
+  };
+  const Row rows[] = {
+      {"response router-0 77 0 9 success 1 1 -", nullptr, "end 2\n"},
+      {"response router-0 51 5 9 success 1 1 -", nullptr, "end 2\n"},
+      {"gone router-0 77", nullptr, "end 2\n"},
+      {"reminder router-0 stale", nullptr, "end 2\n"},
+      {"gone router-8 50", nullptr, "end 2\n"},
+      {"sampled router-0 9 success 900 pending:-5,new_figure:1,busy_reqs:junk", nullptr, "end 2\n"},
+      {"response router-0 x 0 9 success 1 1 -", "line 8: xid: 'x' makes no sense", "end 2\n"},
+      {"response router-0 51 0 9 splendid 1 1 -", "line 8: verdict: 'splendid'", "end 2\n"},
+      {"demand router-0 60 nothing - - 5000000 - 4 -1 1 0", "no such vertical", "end 2\n"},
+      {"demand router-0 60", "line 8: service is missing", "end 2\n"},
+      {"whatever router-0", "'whatever' is unknown", "end 2\n"},
+      {"open_instance router-5 1 balancers=3", "is missing", "bug router-5 setting classes"},
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.line);
+    const auto said = talk(kStart + "frame 1100000 2\n" + row.line + "\n" + kQuery + "go\n");
+    CHECK(has(said.out, row.said));
+    CHECK(has(said.out, "place router-0 51 "));
+    CHECK((row.logged == nullptr ? said.log.empty() : has(said.log, row.logged)));
+  }
+}
+
+TEST_CASE("a missing or nonsensical required setting is told at start") {
+  for (const std::string key : {"balancers=3", "domain.places=1", "classes.0.aim_us=1000000"}) {
+    auto start = kStart;
+    start.replace(start.find(key), key.size(), key.substr(0, key.find('=')) + "=none");
+    CHECK(has(talk(start).out, "bug router-0 " + key.substr(0, key.find('=')) + ": 'none' makes no sense"));
+  }
+}
+
+TEST_CASE("a list with a number used before replaces the earlier one in event order") {
+  const auto said = talk(kStart + "frame 1100000 2\ninventory 0 1\nnode 9 a kind 0 D 1 -\n" +
+                         "membership router-0 incr 0 2\ninventory 0 1\nnode 8 a kind 0 U 1 -\n" +
+                         "membership router-0 incr 0 3\n" + kQuery + "go\n");
+  CHECK(has(said.out, " 8\n"));
+  CHECK(!has(said.out, " 9\n"));
+}
+
+TEST_CASE("a restarted instance holds nothing of before") {
+  const auto said =
+      talk(kStart + "frame 1100000 2\n" + kQuery + "teardown router-0\n" + "open_instance router-0 5 " +
+           kSetup + "\ngo\nframe 1200000 3\nresponse router-0 51 0 9 success 1 1 -\ngo\n");
+  CHECK(!has(said.out, "place"));
+  CHECK(!has(said.out, "answer"));
+}
