--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -30,8 +30,8 @@
 constexpr double kTimeoutDelays = 2.5;   // a leaf call is timed out after so many hedge delays
 constexpr double kTimeoutShare = 0.33;   // but not before this share of the SLO time
 constexpr double kStrainWindow = 2.5;    // refusals look back so far
-constexpr double kStrainAim = 0.5;      // median part latency to SLO time above which queries are refused
-constexpr double kStrainGain = 0.4;      // rise of the refused share a second, a unit of relative excess
+constexpr double kStrainFrom = 0.3;      // median part latency to SLO time above which queries are refused
+constexpr double kStrainFull = 1.0;      // and at which the most are
 constexpr double kMostRefused = 0.9;
 constexpr double kZoneTie = 0.001;    // by which a node elsewhere, at the same score, comes after one near by
 constexpr double kJoinTie = 0.002;    // and one that needs a call of its own after one with a call open
@@ -237,8 +237,8 @@
               (many + kStartWeight);
   }
   const auto known = static_cast<double>(strain.size()) >= kStartWeight;
-  const auto excess = known ? std::clamp(quantile(strain, 0.5) / kStrainAim - 1, -1.0, 1.0) : -1;
-  refused = std::clamp(refused + kStrainGain * excess * (now - ticked), 0.0, kMostRefused);
+  const auto excess = known ? (quantile(strain, 0.5) - kStrainFrom) / (kStrainFull - kStrainFrom) : 0;
+  refused = std::clamp(excess, 0.0, kMostRefused);
 }
 
 // Smoothed latency, drifting to the average while the node is silent. A part that waits there for longer is a
