--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -32,7 +32,8 @@
 constexpr double kStrainWindow = 2.5;    // refusals look back so far
 constexpr double kStrainFrom = 0.3;      // median part latency to SLO time above which queries are refused
 constexpr double kStrainFull = 1.0;      // and at which the most are
-constexpr double kMostRefused = 0.9;
+constexpr double kMostRefused = 0.95;
+constexpr double kHopeless = 0.3;     // prospect below which queries are refused without strain
 constexpr double kZoneTie = 0.001;    // by which a node elsewhere, at the same score, comes after one near by
 constexpr double kJoinTie = 0.002;    // and one that needs a call of its own after one with a call open
 constexpr double kColdCaution = 0.6;  // of what a cold node may be sent by the rule
@@ -47,10 +48,16 @@
 
 // Product-limit estimate of a quantile. Cancelled calls are the slow ones: to leave them out, or to take
 // their age for a latency, would pull the percentile down and so invite more copies.
-double quantile(std::vector<Sample>& samples, double share) {
+// Quantiles are product-limit estimates. Cancelled calls are the slow ones: to leave them out, or to take
+// their age for a latency, would pull the percentile down and so invite more copies.
+void by_value(std::vector<Sample>& samples) {
   std::sort(samples.begin(), samples.end(), [](const Sample& a, const Sample& b) {
     return a.value != b.value ? a.value < b.value : a.censored < b.censored;
   });
+}
+
+double quantile(std::vector<Sample>& samples, double share) {
+  by_value(samples);
   double above = 1;
   for (std::size_t i = 0; i < samples.size(); ++i) {
     if (!samples[i].censored) above *= 1 - 1.0 / static_cast<double>(samples.size() - i);
@@ -59,6 +66,15 @@
   return samples.empty() ? 0 : samples.back().value;
 }
 
+// By the same estimate, the chance that a value is at most this.
+double chance_within(std::vector<Sample>& samples, double value) {
+  by_value(samples);
+  double above = 1;
+  for (std::size_t i = 0; i < samples.size() && samples[i].value <= value; ++i)
+    if (!samples[i].censored) above *= 1 - 1.0 / static_cast<double>(samples.size() - i);
+  return 1 - above;
+}
+
 bool never_ran(Outcome outcome) {
   return outcome == Outcome::overloaded || outcome == Outcome::unreachable || outcome == Outcome::unsent;
 }
@@ -114,7 +130,8 @@
   double delay;  // the hedge delay
   std::deque<std::pair<double, Sample>> latencies;
   std::multiset<double> waiting;  // when its parts that are out were sent
-  double query_work = 0;          // smoothed work of a query
+  double query_work;              // smoothed work of a query; 0: unknown
+  std::deque<std::pair<double, Sample>> query_times;
 };
 
 struct Bucket {
@@ -169,6 +186,7 @@
   double timeout(const Query& q, const Leaf& leaf, double now);
   Answer ending(const Query& q, double now);
   Answer give_up(const Query& q);
+  double prospect(const Query& q, double now);
   bool refuse(const Query& q, double now);
   void learn(const Query& q, const Call& call, double now);
 };
@@ -210,6 +228,8 @@
                          v.second_step > 0,
                          kStartShare * v.slo,
                          {},
+                         {},
+                         0,
                          {}});
   for (const auto& c : s.customers) {
     const auto rate = c.quota / s.routers;
@@ -403,6 +423,19 @@
   return answer;
 }
 
+// The share of its utility that a query can be expected to earn in the time its client leaves it, by how long
+// queries of its vertical have taken of late.
+double Brain::State::prospect(const Query& q, double now) {
+  auto& v = of(q);
+  while (!v.query_times.empty() && v.query_times.front().first < now - kWindow) v.query_times.pop_front();
+  std::vector<Sample> times;
+  for (const auto& [when, sample] : v.query_times) times.push_back(sample);
+  const auto in_time = chance_within(times, slo_end(q) - now);
+  const auto late = std::max(0.0, chance_within(times, last_end(q) - now) - in_time);
+  const auto many = static_cast<double>(times.size());
+  return (many * (in_time + v.late_utility * late) + kStartWeight) / (many + kStartWeight);
+}
+
 // Refusal by chance under strain, before work is sunk: the less utility a query brings for its work, the
 // likelier.
 bool Brain::State::refuse(const Query& q, double now) {
@@ -418,8 +451,13 @@
     if (bucket.level < 1) density *= over_share;
     if (bucket.level >= 1) --bucket.level;
   }
+  // A query with hardly a chance in the time it has (an impatient client, nodes that have become slow) sinks
+  // work for nothing, and its client asks again: a few such clients can bring all nodes down.
+  const auto hope = prospect(q, now);
+  density *= hope;
   mean_density = mean_density > 0 ? mean_density + kAverageWeight * (density - mean_density) : density;
-  const auto share = std::min(refused * mean_density / std::max(density, 1e-9), 0.95);
+  const auto share = std::max(std::min(refused * mean_density / std::max(density, 1e-9), kMostRefused),
+                              1 - hope / kHopeless);
   return std::uniform_real_distribution<>(0, 1)(chance) < share;
 }
 
@@ -465,6 +503,12 @@
 Answer Brain::route(Query& q, double now) {
   auto& s = *s_;
   auto answer = s.ending(q, now);
+  if (answer.end == End::merge_whole || answer.end == End::merge_part ||
+      (answer.end != End::none && q.admitted)) {
+    const auto bound = answer.end == End::reject || answer.end == End::abort;
+    if (bound || q.step == 2 || !s.of(q).two_steps)
+      s.of(q).query_times.push_back({now, {now - q.taken, bound}});
+  }
   if (answer.end != End::none || q.awaited > 0) return answer;
   if (!q.admitted && s.refuse(q, now)) return s.give_up(q);
   q.admitted = true;
