--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -33,6 +33,7 @@
 constexpr double kStrainFrom = 0.3;      // median part latency to SLO time above which queries are refused
 constexpr double kStrainFull = 1.0;      // and at which the most are
 constexpr double kMostRefused = 0.95;
+constexpr double kHopeWeight = 2;        // queries that are taken for answered in time before any are known
 constexpr double kHopeless = 0.3;     // prospect below which queries are refused without strain
 constexpr double kZoneTie = 0.001;    // by which a node elsewhere, at the same score, comes after one near by
 constexpr double kJoinTie = 0.002;    // and one that needs a call of its own after one with a call open
@@ -433,7 +434,7 @@
   const auto in_time = chance_within(times, slo_end(q) - now);
   const auto late = std::max(0.0, chance_within(times, last_end(q) - now) - in_time);
   const auto many = static_cast<double>(times.size());
-  return (many * (in_time + v.late_utility * late) + kStartWeight) / (many + kStartWeight);
+  return (many * (in_time + v.late_utility * late) + kHopeWeight) / (many + kHopeWeight);
 }
 
 // Refusal by chance under strain, before work is sunk: the less utility a query brings for its work, the
