--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -33,7 +33,7 @@
 constexpr double kStrainFrom = 0.3;      // median part latency to SLO time above which queries are refused
 constexpr double kStrainFull = 1.0;      // and at which the most are
 constexpr double kMostRefused = 0.95;
-constexpr double kHopeWeight = 2;        // queries that are taken for answered in time before any are known
+constexpr double kHopeWeight = 2;     // queries that are taken for answered in time before any are known
 constexpr double kHopeless = 0.3;     // prospect below which queries are refused without strain
 constexpr double kZoneTie = 0.001;    // by which a node elsewhere, at the same score, comes after one near by
 constexpr double kJoinTie = 0.002;    // and one that needs a call of its own after one with a call open
@@ -130,8 +130,8 @@
   bool two_steps;
   double delay;  // the hedge delay
   std::deque<std::pair<double, Sample>> latencies;
-  std::multiset<double> waiting;  // when its parts that are out were sent
-  double query_work;              // smoothed work of a query; 0: unknown
+  std::multiset<std::pair<double, double>> waiting;  // its parts that are out: when sent, its queries' time
+  double query_work;                                 // smoothed work of a query; 0: unknown
   std::deque<std::pair<double, Sample>> query_times;
 };
 
@@ -172,6 +172,7 @@
     const auto& v = of(q);
     return std::min(q.taken + v.slo + v.slo_stretch * q.work, q.expires) - margin;
   }
+  double useful_time(const Query& q) { return std::max(slo_end(q) - q.taken, margin); }
   double last_end(const Query& q) { return q.expires - margin; }
 
   void estimate(double now);
@@ -249,9 +250,9 @@
     while (!v.latencies.empty() && v.latencies.front().first < now - kWindow) v.latencies.pop_front();
     std::vector<Sample> samples;
     for (const auto& [when, sample] : v.latencies) samples.push_back(sample);
-    for (const auto sent : v.waiting) {
+    for (const auto& [sent, time] : v.waiting) {
       samples.push_back({now - sent, true});
-      strain.push_back({(now - sent) / v.slo, true});
+      strain.push_back({(now - sent) / time, true});
     }
     const auto many = static_cast<double>(v.latencies.size());
     v.delay = (many * quantile(samples, kHedgeQuantile) + kStartWeight * kStartShare * v.slo) /
@@ -365,7 +366,7 @@
   node.open_at = now;
   ++node.groups[node.open_group];
   node.waiting.insert(now);
-  of(q).waiting.insert(now);
+  of(q).waiting.insert({now, useful_time(q)});
   node.sent.add(now);
   if (leaf.calls.empty()) firsts.add(now);
   if (copy) copies.add(now);
@@ -468,7 +469,8 @@
   auto& node = at(call.node);
   const auto took = now - call.sent;
   if (const auto sent = node.waiting.find(call.sent); sent != node.waiting.end()) node.waiting.erase(sent);
-  if (const auto sent = v.waiting.find(call.sent); sent != v.waiting.end()) v.waiting.erase(sent);
+  if (const auto sent = v.waiting.find({call.sent, useful_time(q)}); sent != v.waiting.end())
+    v.waiting.erase(sent);
   if (const auto group = node.groups.find(call.group); group != node.groups.end() && --group->second <= 0)
     node.groups.erase(group);
   if (call.outcome == Outcome::unsent) return;
@@ -476,7 +478,7 @@
   const auto bound = call.outcome == Outcome::cancelled || call.outcome == Outcome::timed_out;
   if (good || bound) {
     v.latencies.push_back({now, {took, bound}});
-    strain_samples.push_back({now, {took / v.slo, bound}});
+    strain_samples.push_back({now, {took / useful_time(q), bound}});
   }
   if (good) {
     average = average > 0 ? average + kAverageWeight * (took - average) : took;
