Cancelled calls count toward probation, which weighs on the score in place of barring

Cause: a hung node's calls end as losers of a copy race, so it never came on probation and drew whole calls at each return.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -26,6 +26,7 @@
 constexpr double kSmoothing = 0.2;       // weight of a new sample in a node's latency
 constexpr double kAverageWeight = 0.02;  // and in the average of all nodes
 constexpr double kDrift = 5;             // a silent node's latency nears the average with this time constant
+constexpr double kShunned = 10;          // on the score of one that has it already
 constexpr int kProbation = 3;            // bad outcomes in a row after which a node gets one call at a time
 constexpr double kTimeoutDelays = 2.5;   // a leaf call is timed out after so many hedge delays
 constexpr double kTimeoutShare = 0.33;   // but not before this share of the SLO time
@@ -329,9 +330,9 @@
       for (const auto i : by_cell[static_cast<std::size_t>((leaf.shard + j) % cells)]) {
         auto& node = at(i);
         if (tried(i) != again || !allowed(q, leaf, node, now)) continue;
-        if (node.bad_row >= kProbation && !node.waiting.empty()) continue;
-        const auto value = score(node, now) * (node.zone == zone ? 1 : 1 + kZoneTie) *
-                           (joins(node, now) ? 1 - kJoinTie : 1) *
+        const auto value = score(node, now) *
+                           (node.bad_row >= kProbation && !node.waiting.empty() ? kShunned : 1) *
+                           (node.zone == zone ? 1 : 1 + kZoneTie) * (joins(node, now) ? 1 - kJoinTie : 1) *
                            (1 + 1e-6 * static_cast<double>(chance() % 1000));
         if (value < best) {
           best = value;
@@ -484,7 +485,7 @@
     average = average > 0 ? average + kAverageWeight * (took - average) : took;
     node.completed.add(now);
     node.bad_row = 0;
-  } else if (call.outcome != Outcome::cancelled) {
+  } else {
     ++node.bad_row;
   }
   const auto held = node.latency > 0
