--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -26,8 +26,9 @@
 constexpr double kSmoothing = 0.2;       // weight of a new sample in a node's latency
 constexpr double kAverageWeight = 0.02;  // and in the average of all nodes
 constexpr double kDrift = 5;             // a silent node's latency nears the average with this time constant
-constexpr double kShunned = 10;          // on the score of one that has it already
-constexpr int kProbation = 3;            // bad outcomes in a row after which a node gets one call at a time
+constexpr int kProbation = 3;            // bad outcomes in a row after which a node is suspect
+constexpr double kSilence = 4;           // average latencies without any answer after which it is too
+constexpr double kShunned = 10;          // on the score of a suspect node that has a part already
 constexpr double kTimeoutDelays = 2.5;   // a leaf call is timed out after so many hedge delays
 constexpr double kTimeoutShare = 0.33;   // but not before this share of the SLO time
 constexpr double kStrainWindow = 2.5;    // refusals look back so far
@@ -116,6 +117,7 @@
   double born = 0;
   double latency = 0;             // smoothed; 0: unheard
   double heard = 0;               // when it last changed
+  double answered = 0;            // when it last answered anything
   int bad_row = 0;                // bad outcomes since the last success
   std::map<int, int> groups;      // calls that wait there, by group, with their parts
   std::multiset<double> waiting;  // when the parts that wait there were sent
@@ -179,6 +181,7 @@
   void estimate(double now);
   double latency(const Node& node, double now) const;
   bool joins(const Node& node, double now) const;
+  bool suspect(const Node& node, double now) const;
   double score(const Node& node, double now);
   int choose(const Query& q, const Leaf& leaf, bool copy, double now, double& best);
   bool cold(const Node& node, double now) const { return node.born > 0 && now < node.born + cold_time; }
@@ -279,8 +282,18 @@
   return node.open_at == now && open != node.groups.end() && open->second < parts_a_call;
 }
 
+// A node that fails row upon row, or has answered nothing since a part was sent that it should have answered
+// long ago.
+bool Brain::State::suspect(const Node& node, double now) const {
+  if (node.waiting.empty()) return false;
+  const auto oldest = *node.waiting.begin();
+  const auto silent = node.answered < oldest && now - oldest > kSilence * std::max(average, node.latency);
+  return silent || node.bad_row >= kProbation;
+}
+
 double Brain::State::score(const Node& node, double now) {
-  return latency(node, now) * static_cast<double>(node.groups.size() + (joins(node, now) ? 0 : 1));
+  return (suspect(node, now) ? kShunned : 1) * latency(node, now) *
+         static_cast<double>(node.groups.size() + (joins(node, now) ? 0 : 1));
 }
 
 // The one guard that every send passes.
@@ -330,9 +343,8 @@
       for (const auto i : by_cell[static_cast<std::size_t>((leaf.shard + j) % cells)]) {
         auto& node = at(i);
         if (tried(i) != again || !allowed(q, leaf, node, now)) continue;
-        const auto value = score(node, now) *
-                           (node.bad_row >= kProbation && !node.waiting.empty() ? kShunned : 1) *
-                           (node.zone == zone ? 1 : 1 + kZoneTie) * (joins(node, now) ? 1 - kJoinTie : 1) *
+        const auto value = score(node, now) * (node.zone == zone ? 1 : 1 + kZoneTie) *
+                           (joins(node, now) ? 1 - kJoinTie : 1) *
                            (1 + 1e-6 * static_cast<double>(chance() % 1000));
         if (value < best) {
           best = value;
@@ -476,6 +488,7 @@
     node.groups.erase(group);
   if (call.outcome == Outcome::unsent) return;
   const auto good = call.outcome == Outcome::success;
+  if (call.outcome != Outcome::cancelled && call.outcome != Outcome::timed_out) node.answered = now;
   const auto bound = call.outcome == Outcome::cancelled || call.outcome == Outcome::timed_out;
   if (good || bound) {
     v.latencies.push_back({now, {took, bound}});
