Latencies are read against the part's hint, and heavy parts are copied later

Cause: parts of one query differ in work by half their mean, so the p95 caught the heavy ones and nodes looked slow for what they were sent. Bounded so that a wrong hint does no harm.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -157,7 +157,8 @@
   double cold_time, cold_start, cold_rate, fall_time;
   double extra_span, extra_free, extra_share;
   std::ranlux24_base chance;
-  double average = 0;  // latency of a part, over all nodes
+  double part_work = 0;  // smoothed hint of a part's work; 0: no hints
+  double average = 0;    // latency of a part, over all nodes
   int next_group = 0;
   Tally firsts, copies;  // over the window
   Tally taken, extras;   // over the span of the budget
@@ -194,7 +195,8 @@
   Answer give_up(const Query& q);
   double prospect(const Query& q, double now);
   bool refuse(const Query& q, double now);
-  void learn(const Query& q, const Call& call, double now);
+  double excess(const Leaf& leaf) const;
+  void learn(const Query& q, const Leaf& leaf, const Call& call, double now);
 };
 
 Brain::State::State(const Settings& s, std::uint64_t seed, double now)
@@ -358,7 +360,7 @@
 
 bool Brain::State::copy_due(const Query& q, const Leaf& leaf, double now) {
   return may_copy && of(q).effect == Effect::repeatable && leaf.calls.size() == 1 && pending(leaf.calls[0]) &&
-         now >= leaf.calls[0].sent + of(q).delay - 1e-6 && now < slo_end(q);
+         now >= leaf.calls[0].sent + of(q).delay + excess(leaf) - 1e-6 && now < slo_end(q);
 }
 
 // A leaf call is given so long that after it another can still be in time; the last one has all the time
@@ -381,7 +383,11 @@
   node.waiting.insert(now);
   of(q).waiting.insert({now, useful_time(q)});
   node.sent.add(now);
-  if (leaf.calls.empty()) firsts.add(now);
+  if (leaf.calls.empty()) {
+    firsts.add(now);
+    if (leaf.work > 0)
+      part_work = part_work > 0 ? part_work + kAverageWeight * (leaf.work - part_work) : leaf.work;
+  }
   if (copy) copies.add(now);
   if (!leaf.calls.empty()) extras.add(now);
   return {leaf_index, node_index, node.open_group, timeout(q, leaf, now)};
@@ -477,10 +483,18 @@
 }
 
 // What an outcome tells of the node and of the latencies.
-void Brain::State::learn(const Query& q, const Call& call, double now) {
+// By how much longer a part should take than an average one, by its hint. Bounded, so that a wrong hint does
+// no harm.
+double Brain::State::excess(const Leaf& leaf) const {
+  if (leaf.work <= 0 || part_work <= 0) return 0;
+  return std::clamp(leaf.work - part_work, -part_work, 2 * part_work);
+}
+
+void Brain::State::learn(const Query& q, const Leaf& leaf, const Call& call, double now) {
   auto& v = of(q);
   auto& node = at(call.node);
-  const auto took = now - call.sent;
+  const auto age = now - call.sent;
+  const auto took = std::max(age - excess(leaf), age / 4);
   if (const auto sent = node.waiting.find(call.sent); sent != node.waiting.end()) node.waiting.erase(sent);
   if (const auto sent = v.waiting.find({call.sent, useful_time(q)}); sent != v.waiting.end())
     v.waiting.erase(sent);
@@ -492,7 +506,7 @@
   const auto bound = call.outcome == Outcome::cancelled || call.outcome == Outcome::timed_out;
   if (good || bound) {
     v.latencies.push_back({now, {took, bound}});
-    strain_samples.push_back({now, {took / useful_time(q), bound}});
+    strain_samples.push_back({now, {age / useful_time(q), bound}});
   }
   if (good) {
     average = average > 0 ? average + kAverageWeight * (took - average) : took;
@@ -550,7 +564,7 @@
   auto& s = *s_;
   auto& leaf = q.leaves[static_cast<std::size_t>(leaf_index)];
   const auto& call = leaf.calls[static_cast<std::size_t>(call_index)];
-  s.learn(q, call, now);
+  s.learn(q, leaf, call, now);
   Answer answer;
   if (call.outcome != Outcome::success || leaf.in) return answer;
   leaf.in = true;
@@ -570,7 +584,7 @@
     if (std::none_of(leaf.calls.begin(), leaf.calls.end(), pending)) {
       due = std::min(due, now + kPeriod);
     } else if (s.may_copy && v.effect == Effect::repeatable && leaf.calls.size() == 1) {
-      const auto copy = leaf.calls[0].sent + v.delay;
+      const auto copy = leaf.calls[0].sent + v.delay + s.excess(leaf);
       due = std::min(due, copy > now ? copy : now + kPeriod);
     }
   }
