Suspect nodes are tried again only after a probe came back or a growing pause

Cause: each trial of a hung node costs a query, and drift made one every two seconds a router. Covers hung, failing and unreachable nodes; may hurt where a probe is slower than its time-out on a node that is merely loaded.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -28,12 +28,14 @@
 constexpr double kDrift = 5;             // a silent node's latency nears the average with this time constant
 constexpr int kProbation = 3;            // bad outcomes in a row after which a node is suspect
 constexpr double kSilence = 3;           // average latencies without any answer after which it is too
-constexpr double kShunned = 10;          // on the score of a suspect node that has a part already
-constexpr double kTimeoutDelays = 2.5;   // a leaf call is timed out after so many hedge delays
-constexpr double kTimeoutShare = 0.33;   // but not before this share of the SLO time
-constexpr double kStrainWindow = 2.5;    // refusals look back so far
-constexpr double kStrainFrom = 0.3;      // median part latency to SLO time above which queries are refused
-constexpr double kStrainFull = 1.0;      // and at which the most are
+constexpr double kFirstPause = 1;        // until a suspect node is tried again, if no probe comes back before
+constexpr double kLongestPause = 16;
+constexpr double kShunned = 10;         // on the score of a suspect node that has a part already
+constexpr double kTimeoutDelays = 2.5;  // a leaf call is timed out after so many hedge delays
+constexpr double kTimeoutShare = 0.33;  // but not before this share of the SLO time
+constexpr double kStrainWindow = 2.5;   // refusals look back so far
+constexpr double kStrainFrom = 0.3;     // median part latency to SLO time above which queries are refused
+constexpr double kStrainFull = 1.0;     // and at which the most are
 constexpr double kMostRefused = 0.95;
 constexpr double kHopeWeight = 2;     // queries that are taken for answered in time before any are known
 constexpr double kHopeless = 0.3;     // prospect below which queries are refused without strain
@@ -115,9 +117,14 @@
   int cell = 0;
   bool up = false;
   double born = 0;
-  double latency = 0;             // smoothed; 0: unheard
-  double heard = 0;               // when it last changed
-  double answered = 0;            // when it last answered anything
+  double latency = 0;   // smoothed; 0: unheard
+  double heard = 0;     // when it last changed
+  double answered = 0;  // when it last answered anything
+  bool suspect = false;
+  double pause = 0;     // between its trials
+  double trial_at = 0;  // the next one
+  double probe_at = 0;  // the next probe while it is suspect
+  int row_seen = 0;
   int bad_row = 0;                // bad outcomes since the last success
   std::map<int, int> groups;      // calls that wait there, by group, with their parts
   std::multiset<double> waiting;  // when the parts that wait there were sent
@@ -152,7 +159,7 @@
   std::vector<Node> nodes;
   std::vector<std::vector<int>> by_cell;
   int zone, max_calls, parts_a_call, cells, span;
-  bool may_copy, may_cancel, must_ask_list, utility_by_work;
+  bool may_copy, may_cancel, may_probe, must_ask_list, utility_by_work;
   double margin, stay_away, over_share;
   double cold_time, cold_start, cold_rate, fall_time;
   double extra_span, extra_free, extra_share;
@@ -182,7 +189,8 @@
   void estimate(double now);
   double latency(const Node& node, double now) const;
   bool joins(const Node& node, double now) const;
-  bool suspect(const Node& node, double now) const;
+  bool shunned(const Node& node, double now) const;
+  void watch(Node& node, double now);
   double score(const Node& node, double now);
   int choose(const Query& q, const Leaf& leaf, bool copy, double now, double& best);
   bool cold(const Node& node, double now) const { return node.born > 0 && now < node.born + cold_time; }
@@ -208,6 +216,7 @@
       span(std::min(s.span, s.cells)),
       may_copy(s.may_copy),
       may_cancel(s.may_cancel),
+      may_probe(s.may_probe),
       must_ask_list(s.must_ask_list),
       utility_by_work(s.utility_by_work),
       margin(0.02 + 2 * s.tick),
@@ -284,17 +293,32 @@
   return node.open_at == now && open != node.groups.end() && open->second < parts_a_call;
 }
 
-// A node that fails row upon row, or has answered nothing since a part was sent that it should have answered
-// long ago.
-bool Brain::State::suspect(const Node& node, double now) const {
-  if (node.waiting.empty()) return false;
-  const auto oldest = *node.waiting.begin();
-  const auto silent = node.answered < oldest && now - oldest > kSilence * std::max(average, node.latency);
-  return silent || node.bad_row >= kProbation;
+// A node under suspicion. Before it is tried with a part again a probe must have come back, and then it gets
+// one part.
+bool Brain::State::shunned(const Node& node, double now) const {
+  return node.suspect && (!node.waiting.empty() || now < node.trial_at);
+}
+
+// Three bad outcomes in a row, or no answer at all since a part was sent that should have been answered long
+// ago. The trials of a bad node cost a query each, so they become rarer while they fail.
+void Brain::State::watch(Node& node, double now) {
+  const auto silent = !node.waiting.empty() && node.answered < *node.waiting.begin() &&
+                      now - *node.waiting.begin() > kSilence * std::max(average, node.latency);
+  if (!silent && node.bad_row < kProbation) {
+    node.suspect = false;
+    node.pause = kFirstPause;
+  } else if (!node.suspect || now >= node.trial_at) {
+    if (node.suspect && node.waiting.empty() && node.bad_row == node.row_seen) return;  // not tried yet
+    node.pause = node.suspect ? std::min(2 * node.pause, kLongestPause) : kFirstPause;
+    node.suspect = true;
+    node.trial_at = now + node.pause;
+    node.probe_at = now;
+  }
+  node.row_seen = node.bad_row;
 }
 
 double Brain::State::score(const Node& node, double now) {
-  return (suspect(node, now) ? kShunned : 1) * latency(node, now) *
+  return (shunned(node, now) ? kShunned : 1) * latency(node, now) *
          static_cast<double>(node.groups.size() + (joins(node, now) ? 0 : 1));
 }
 
@@ -626,13 +650,23 @@
   s_->ask_after = now + 2;
 }
 
-void Brain::probed(int, Outcome, double, const Report&, double) {}
+void Brain::probed(int index, Outcome outcome, double, const Report&, double now) {
+  auto& node = s_->at(index);
+  if (outcome == Outcome::success && node.suspect) node.trial_at = std::min(node.trial_at, now);
+}
 
 Chores Brain::tick(double now) {
   auto& s = *s_;
   s.estimate(now);
   s.ticked = now;
   Chores chores;
+  for (std::size_t i = 0; i < s.nodes.size(); ++i) {
+    auto& node = s.nodes[i];
+    s.watch(node, now);
+    if (!s.may_probe || !node.up || !node.suspect || now < node.probe_at || now >= node.trial_at) continue;
+    chores.probes.push_back(static_cast<int>(i));
+    node.probe_at = now + kFirstPause;
+  }
   chores.ask_list = s.must_ask_list && now >= s.ask_after;
   if (chores.ask_list) s.ask_after = now + 10;
   return chores;
