--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -31,9 +31,6 @@
 constexpr double kFirstPause = 1;        // until a suspect node is tried again, if no probe comes back before
 constexpr double kLongestPause = 16;
 constexpr double kShunned = 10;        // on the score of a suspect node that has a part already
-constexpr double kBackDelays = 2.5;    // hedge delays after which a part is taken back and sent elsewhere
-constexpr double kBackAge = 0.33;      // but not before this share of the SLO time
-constexpr double kBackShare = 0.05;    // parts taken back to parts sent, at most
 constexpr double kStrainWindow = 2.5;  // refusals look back so far
 constexpr double kStrainFrom = 0.3;    // median part latency to SLO time above which queries are refused
 constexpr double kStrainFull = 1.0;    // and at which the most are
@@ -168,8 +165,8 @@
   double part_work = 0;  // smoothed hint of a part's work; 0: no hints
   double average = 0;    // latency of a part, over all nodes
   int next_group = 0;
-  Tally firsts, copies, backs;  // over the window
-  Tally taken, extras;          // over the span of the budget
+  Tally firsts, copies;  // over the window
+  Tally taken, extras;   // over the span of the budget
   std::deque<std::pair<double, Sample>> strain_samples;
   double refused = 0;       // share of the queries of average utility for their work that are refused
   double mean_density = 0;  // utility for a unit of work, over all queries
@@ -199,7 +196,6 @@
   bool resendable(const Query& q, const Leaf& leaf, double now);
   bool copy_due(const Query& q, const Leaf& leaf, double now);
   Send commit(const Query& q, int leaf, int node, bool copy, double now);
-  bool overdue(const Query& q, const Leaf& leaf, double now);
   double timeout(const Query& q, double now);
   Answer ending(const Query& q, double now);
   Answer give_up(const Query& q);
@@ -389,16 +385,6 @@
          now >= leaf.calls[0].sent + of(q).delay + excess(leaf) - 1e-6 && now < slo_end(q);
 }
 
-// A part whose calls have all been out for so long that it is taken back and sent elsewhere, if that can
-// still be in time.
-bool Brain::State::overdue(const Query& q, const Leaf& leaf, double now) {
-  const auto& v = of(q);
-  const auto patience = std::max(kBackDelays * v.delay, kBackAge * v.slo) + excess(leaf);
-  return may_cancel && now + v.delay < slo_end(q) &&
-         std::all_of(leaf.calls.begin(), leaf.calls.end(),
-                     [&](const Call& call) { return !pending(call) || now >= call.sent + patience; });
-}
-
 // A leaf call is given all the time in which its answer is worth something.
 double Brain::State::timeout(const Query& q, double now) {
   return (of(q).late_utility > 0 ? last_end(q) : slo_end(q)) - now;
@@ -579,20 +565,13 @@
     const auto out = std::any_of(leaf.calls.begin(), leaf.calls.end(), pending);
     const auto sent = s.firsts.within(kWindow, now);
     const auto copy = s.copy_due(q, leaf, now) && s.copies.within(kWindow, now) + 1 <= kCopyShare * sent;
-    const auto back =
-        !copy && s.overdue(q, leaf, now) && s.backs.within(kWindow, now) + 1 <= kBackShare * sent;
-    if (out && !copy && !back) continue;
+    if (out && !copy) continue;
     double best = 0;
-    const auto node = s.choose(q, leaf, out, now, best);
+    const auto node = s.choose(q, leaf, copy, now, best);
     if (node == kNone) continue;
-    // Another call helps where the other replica can be expected to answer within the very delay that made
+    // A copy helps where the other replica can be expected to answer within the very delay that made
     // this one late. When all are slow, or the others queue too, it would only add to the load.
-    if (out && best > s.of(q).delay) continue;
-    if (back) {
-      s.backs.add(now);
-      for (std::size_t j = 0; j < leaf.calls.size(); ++j)
-        if (pending(leaf.calls[j])) answer.cancels.push_back({static_cast<int>(i), static_cast<int>(j)});
-    }
+    if (copy && best > s.of(q).delay) continue;
     answer.sends.push_back(s.commit(q, static_cast<int>(i), node, copy, now));
   }
   return answer;
