--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -181,7 +181,9 @@
     const auto& v = of(q);
     return std::min(q.taken + v.slo + v.slo_stretch * q.work, q.expires) - margin;
   }
-  double useful_time(const Query& q) { return std::max(slo_end(q) - q.taken, margin); }
+  double step_time(const Query& q) {
+    return std::max(slo_end(q) - q.taken, margin) / (of(q).two_steps ? 2 : 1);
+  }
   double last_end(const Query& q) { return q.expires - margin; }
 
   void estimate(double now);
@@ -397,7 +399,7 @@
   node.open_at = now;
   ++node.groups[node.open_group];
   node.waiting.insert(now);
-  of(q).waiting.insert({now, useful_time(q)});
+  of(q).waiting.insert({now, step_time(q)});
   node.sent.add(now);
   if (leaf.calls.empty()) {
     firsts.add(now);
@@ -512,7 +514,7 @@
   const auto age = now - call.sent;
   const auto took = std::max(age - excess(leaf), age / 4);
   if (const auto sent = node.waiting.find(call.sent); sent != node.waiting.end()) node.waiting.erase(sent);
-  if (const auto sent = v.waiting.find({call.sent, useful_time(q)}); sent != v.waiting.end())
+  if (const auto sent = v.waiting.find({call.sent, step_time(q)}); sent != v.waiting.end())
     v.waiting.erase(sent);
   if (const auto group = node.groups.find(call.group); group != node.groups.end() && --group->second <= 0)
     node.groups.erase(group);
@@ -522,7 +524,7 @@
   const auto bound = call.outcome == Outcome::cancelled || call.outcome == Outcome::timed_out;
   if (good || bound) {
     v.latencies.push_back({now, {took, bound}});
-    strain_samples.push_back({now, {age / useful_time(q), bound}});
+    strain_samples.push_back({now, {age / step_time(q), bound}});
   }
   if (good) {
     average = average > 0 ? average + kAverageWeight * (took - average) : took;
