--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -30,10 +30,11 @@
 constexpr double kSilence = 3;           // average latencies without any answer after which it is too
 constexpr double kFirstPause = 1;        // until a suspect node is tried again, if no probe comes back before
 constexpr double kLongestPause = 16;
-constexpr double kShunned = 10;        // on the score of a suspect node that has a part already
-constexpr double kStrainWindow = 2.5;  // refusals look back so far
-constexpr double kStrainFrom = 0.3;    // median part latency to SLO time above which queries are refused
-constexpr double kStrainFull = 1.0;    // and at which the most are
+constexpr double kShunned = 10;           // on the score of a suspect node that has a part already
+constexpr double kStrainWindow = 2.5;     // refusals look back so far
+constexpr double kStrainQuantile = 0.75;  // of part latencies, where all parts are needed
+constexpr double kStrainFrom = 0.4;  // part latency to the time a step has above which queries are refused
+constexpr double kStrainFull = 1.2;  // and at which the most are
 constexpr double kMostRefused = 0.95;
 constexpr double kHopeWeight = 2;     // queries that are taken for answered in time before any are known
 constexpr double kHopeless = 0.3;     // prospect below which queries are refused without strain
@@ -133,14 +134,28 @@
 };
 
 struct VerticalState {
+  explicit VerticalState(const Vertical& v)
+      : slo(v.slo),
+        slo_stretch(v.slo_stretch),
+        utility(v.utility),
+        late_utility(v.late_utility),
+        window(v.window),
+        least(v.least),
+        whole(v.whole),
+        partial_earns(v.partial_earns),
+        effect(v.effect),
+        two_steps(v.second_step > 0),
+        delay(kStartShare * v.slo) {}
+
   double slo, slo_stretch, utility, late_utility, window, least, whole, partial_earns;
   Effect effect;
   bool two_steps;
   double delay;  // the hedge delay
   std::deque<std::pair<double, Sample>> latencies;
   std::multiset<std::pair<double, double>> waiting;  // its parts that are out: when sent, its queries' time
-  double query_work;                                 // smoothed work of a query; 0: unknown
+  double query_work = 0;                             // smoothed work of a query; 0: unknown
   std::deque<std::pair<double, Sample>> query_times;
+  std::deque<std::pair<double, Sample>> strain;  // part latencies to the time that the step had
 };
 
 struct Bucket {
@@ -165,9 +180,8 @@
   double part_work = 0;  // smoothed hint of a part's work; 0: no hints
   double average = 0;    // latency of a part, over all nodes
   int next_group = 0;
-  Tally firsts, copies;  // over the window
-  Tally taken, extras;   // over the span of the budget
-  std::deque<std::pair<double, Sample>> strain_samples;
+  Tally firsts, copies;     // over the window
+  Tally taken, extras;      // over the span of the budget
   double refused = 0;       // share of the queries of average utility for their work that are refused
   double mean_density = 0;  // utility for a unit of work, over all queries
   double ticked, ask_after;
@@ -232,22 +246,7 @@
       chance(static_cast<std::uint_fast32_t>(seed ^ (seed >> 32))),
       ticked(now),
       ask_after(now) {
-  for (const auto& v : s.verticals)
-    verticals.push_back({v.slo,
-                         v.slo_stretch,
-                         v.utility,
-                         v.late_utility,
-                         v.window,
-                         v.least,
-                         v.whole,
-                         v.partial_earns,
-                         v.effect,
-                         v.second_step > 0,
-                         kStartShare * v.slo,
-                         {},
-                         {},
-                         0,
-                         {}});
+  for (const auto& v : s.verticals) verticals.emplace_back(v);
   for (const auto& c : s.customers) {
     const auto rate = c.quota / s.routers;
     customers.push_back({rate, rate, now});
@@ -258,9 +257,7 @@
 // age: when all nodes slow together the answers that would show it are the ones not yet in.
 void Brain::State::estimate(double now) {
   std::vector<Sample> strain;
-  while (!strain_samples.empty() && strain_samples.front().first < now - kStrainWindow)
-    strain_samples.pop_front();
-  for (const auto& [when, sample] : strain_samples) strain.push_back(sample);
+  double needed = 0;
   for (auto& v : verticals) {
     while (!v.latencies.empty() && v.latencies.front().first < now - kWindow) v.latencies.pop_front();
     std::vector<Sample> samples;
@@ -269,12 +266,17 @@
       samples.push_back({now - sent, true});
       strain.push_back({(now - sent) / time, true});
     }
+    while (!v.strain.empty() && v.strain.front().first < now - kStrainWindow) v.strain.pop_front();
+    for (const auto& [when, sample] : v.strain) strain.push_back(sample);
+    needed += v.least * static_cast<double>(v.strain.size() + v.waiting.size());
     const auto many = static_cast<double>(v.latencies.size());
     v.delay = (many * quantile(samples, kHedgeQuantile) + kStartWeight * kStartShare * v.slo) /
               (many + kStartWeight);
   }
-  const auto known = static_cast<double>(strain.size()) >= kStartWeight;
-  const auto excess = known ? (quantile(strain, 0.5) - kStrainFrom) / (kStrainFull - kStrainFrom) : 0;
+  // Where all parts are needed the slow ones decide; where a share will do, they matter less.
+  const auto many = static_cast<double>(strain.size());
+  const auto level = many < kStartWeight ? 0 : quantile(strain, kStrainQuantile * needed / many);
+  const auto excess = (level - kStrainFrom) / (kStrainFull - kStrainFrom);
   refused = std::clamp(excess, 0.0, kMostRefused);
 }
 
@@ -524,7 +526,7 @@
   const auto bound = call.outcome == Outcome::cancelled || call.outcome == Outcome::timed_out;
   if (good || bound) {
     v.latencies.push_back({now, {took, bound}});
-    strain_samples.push_back({now, {age / step_time(q), bound}});
+    v.strain.push_back({now, {age / step_time(q), bound}});
   }
   if (good) {
     average = average > 0 ? average + kAverageWeight * (took - average) : took;
