--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -182,7 +182,8 @@
   int next_group = 0;
   Tally firsts, copies;     // over the window
   Tally taken, extras;      // over the span of the budget
-  double refused = 0;       // share of the queries of average utility for their work that are refused
+  double strain = 0;        // part latency to the time that a step has
+  double typical_out = 0;   // parts out while that was measured
   double mean_density = 0;  // utility for a unit of work, over all queries
   double ticked, ask_after;
 
@@ -200,6 +201,7 @@
   }
   double last_end(const Query& q) { return q.expires - margin; }
 
+  double out() const;
   void estimate(double now);
   double latency(const Node& node, double now) const;
   bool joins(const Node& node, double now) const;
@@ -253,10 +255,16 @@
   }
 }
 
+double Brain::State::out() const {
+  std::size_t parts = 0;
+  for (const auto& v : verticals) parts += v.waiting.size();
+  return static_cast<double>(parts);
+}
+
 // The hedge delay of each vertical, and how strained the nodes are. Parts that are still out count with their
 // age: when all nodes slow together the answers that would show it are the ones not yet in.
 void Brain::State::estimate(double now) {
-  std::vector<Sample> strain;
+  std::vector<Sample> samples_of_all;
   double needed = 0;
   for (auto& v : verticals) {
     while (!v.latencies.empty() && v.latencies.front().first < now - kWindow) v.latencies.pop_front();
@@ -264,20 +272,19 @@
     for (const auto& [when, sample] : v.latencies) samples.push_back(sample);
     for (const auto& [sent, time] : v.waiting) {
       samples.push_back({now - sent, true});
-      strain.push_back({(now - sent) / time, true});
+      samples_of_all.push_back({(now - sent) / time, true});
     }
     while (!v.strain.empty() && v.strain.front().first < now - kStrainWindow) v.strain.pop_front();
-    for (const auto& [when, sample] : v.strain) strain.push_back(sample);
+    for (const auto& [when, sample] : v.strain) samples_of_all.push_back(sample);
     needed += v.least * static_cast<double>(v.strain.size() + v.waiting.size());
     const auto many = static_cast<double>(v.latencies.size());
     v.delay = (many * quantile(samples, kHedgeQuantile) + kStartWeight * kStartShare * v.slo) /
               (many + kStartWeight);
   }
   // Where all parts are needed the slow ones decide; where a share will do, they matter less.
-  const auto many = static_cast<double>(strain.size());
-  const auto level = many < kStartWeight ? 0 : quantile(strain, kStrainQuantile * needed / many);
-  const auto excess = (level - kStrainFrom) / (kStrainFull - kStrainFrom);
-  refused = std::clamp(excess, 0.0, kMostRefused);
+  const auto many = static_cast<double>(samples_of_all.size());
+  strain = many < kStartWeight ? 0 : quantile(samples_of_all, kStrainQuantile * needed / many);
+  typical_out += (out() - typical_out) * std::min(1.0, (now - ticked) / kStrainWindow);
 }
 
 // Smoothed latency, drifting to the average while the node is silent. A part that waits there for longer is a
@@ -497,6 +504,12 @@
   const auto hope = prospect(q, now);
   density *= hope;
   mean_density = mean_density > 0 ? mean_density + kAverageWeight * (density - mean_density) : density;
+  // By Little's law latency grows with what is out. The parts already out foretell the latency of this query
+  // better than answers do, which tell of queries sent before a burst: without this all routers let a burst
+  // in.
+  const auto parts = static_cast<double>(q.leaves.size());
+  const auto foretold = strain * std::max(1.0, (out() + parts) / std::max(typical_out, parts));
+  const auto refused = std::clamp((foretold - kStrainFrom) / (kStrainFull - kStrainFrom), 0.0, kMostRefused);
   const auto share = std::max(std::min(refused * mean_density / std::max(density, 1e-9), kMostRefused),
                               1 - hope / kHopeless);
   return std::uniform_real_distribution<>(0, 1)(chance) < share;
