--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -319,6 +319,47 @@
   CHECK(refused[1] < refused[0]);
 }
 
+TEST_CASE("queries with hardly a chance in the time their client leaves are refused without strain") {
+  for (const double time : {0.3, 2.0}) {
+    CAPTURE(time);
+    Rig rig(settings(), 12);
+    for (int i = 0; i < 40; ++i) {  // each takes 0.4 s
+      auto q = rig.query(0, 1, 1.0);
+      rig.route(q);
+      rig.pass(0.4);
+      if (!q.ended) rig.settle(q, 0, Outcome::success);
+      rig.route(q);
+    }
+    int refused = 0;
+    for (int i = 0; i < 20; ++i) {
+      auto q = rig.query(0, 1, time);
+      refused += rig.route(q).end == End::reject;
+      if (!q.ended) rig.settle(q, 0, Outcome::success);
+    }
+    CHECK((time < 0.4 ? refused >= 10 : refused == 0));
+  }
+}
+
+TEST_CASE("a burst is refused before the answers can tell of it") {
+  for (const int burst : {2, 100}) {
+    CAPTURE(burst);
+    Rig rig(settings(), 12);
+    for (int round = 0; round < 20; ++round) {
+      std::vector<Query> queries(3, rig.query(0, 4));
+      for (auto& q : queries) rig.route(q);
+      rig.pass(0.3);
+      for (auto& q : queries)
+        for (int i = 0; i < 4 && !q.ended; ++i) rig.settle(q, i, Outcome::success);
+    }
+    int refused = 0;
+    for (int i = 0; i < burst; ++i) {
+      auto q = rig.query(0, 4);
+      refused += rig.route(q).end == End::reject;
+    }
+    CHECK((burst > 2 ? refused > 20 : refused == 0));
+  }
+}
+
 TEST_CASE("the same events give the same actions") {
   Rig a, b;
   CHECK(a.serve(200, 0.03) == b.serve(200, 0.03));
