--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -556,6 +556,7 @@
   const auto value = good ? took : bound ? std::max(took, held) : std::max(v.slo, held);
   node.latency = held > 0 ? held + kSmoothing * (value - held) : value;
   node.heard = now;
+  if (!good) watch(node, now);
 }
 
 Brain::Brain(const Settings& settings, std::uint64_t seed, double now)
