--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -201,7 +201,7 @@
   }
   double last_end(const Query& q) { return q.expires - margin; }
 
-  double out() const;
+  double out(double now) const;
   void estimate(double now);
   double latency(const Node& node, double now) const;
   bool joins(const Node& node, double now) const;
@@ -255,9 +255,12 @@
   }
 }
 
-double Brain::State::out() const {
-  std::size_t parts = 0;
-  for (const auto& v : verticals) parts += v.waiting.size();
+// Parts out that were sent of late. Those stuck at nodes that answer nothing pile up and tell nothing of the
+// others.
+double Brain::State::out(double now) const {
+  std::ptrdiff_t parts = 0;
+  for (const auto& v : verticals)
+    parts += std::distance(v.waiting.lower_bound({now - kStrainWindow, 0}), v.waiting.end());
   return static_cast<double>(parts);
 }
 
@@ -270,13 +273,14 @@
     while (!v.latencies.empty() && v.latencies.front().first < now - kWindow) v.latencies.pop_front();
     std::vector<Sample> samples;
     for (const auto& [when, sample] : v.latencies) samples.push_back(sample);
+    const auto before = static_cast<double>(samples_of_all.size());
     for (const auto& [sent, time] : v.waiting) {
       samples.push_back({now - sent, true});
-      samples_of_all.push_back({(now - sent) / time, true});
+      if (now - sent <= kStrainWindow) samples_of_all.push_back({(now - sent) / time, true});
     }
     while (!v.strain.empty() && v.strain.front().first < now - kStrainWindow) v.strain.pop_front();
     for (const auto& [when, sample] : v.strain) samples_of_all.push_back(sample);
-    needed += v.least * static_cast<double>(v.strain.size() + v.waiting.size());
+    needed += v.least * (static_cast<double>(samples_of_all.size()) - before);
     const auto many = static_cast<double>(v.latencies.size());
     v.delay = (many * quantile(samples, kHedgeQuantile) + kStartWeight * kStartShare * v.slo) /
               (many + kStartWeight);
@@ -284,7 +288,7 @@
   // Where all parts are needed the slow ones decide; where a share will do, they matter less.
   const auto many = static_cast<double>(samples_of_all.size());
   strain = many < kStartWeight ? 0 : quantile(samples_of_all, kStrainQuantile * needed / many);
-  typical_out += (out() - typical_out) * std::min(1.0, (now - ticked) / kStrainWindow);
+  typical_out += (out(now) - typical_out) * std::min(1.0, (now - ticked) / kStrainWindow);
 }
 
 // Smoothed latency, drifting to the average while the node is silent. A part that waits there for longer is a
@@ -508,7 +512,7 @@
   // better than answers do, which tell of queries sent before a burst: without this all routers let a burst
   // in.
   const auto parts = static_cast<double>(q.leaves.size());
-  const auto foretold = strain * std::max(1.0, (out() + parts) / std::max(typical_out, parts));
+  const auto foretold = strain * std::max(1.0, (out(now) + parts) / std::max(typical_out, parts));
   const auto refused = std::clamp((foretold - kStrainFrom) / (kStrainFull - kStrainFrom), 0.0, kMostRefused);
   const auto share = std::max(std::min(refused * mean_density / std::max(density, 1e-9), kMostRefused),
                               1 - hope / kHopeless);
