--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -36,8 +36,10 @@
 constexpr double kStrainFrom = 0.65;  // part latency to the time a step has above which queries are refused
 constexpr double kStrainFull = 1.0;   // and at which the most are
 constexpr double kMostRefused = 0.95;
-constexpr double kHopeWeight = 2;     // queries that are taken for answered in time before any are known
-constexpr double kHopeless = 0.3;     // prospect below which queries are refused without strain
+constexpr double kHopeWeight = 2;  // queries that are taken for answered in time before any are known
+constexpr double kHopeless = 0.3;  // prospect below which queries are refused without strain
+constexpr double kRetryAge =
+    0.5;  // of a try's time, taken to have passed before a try that is marked as a retry
 constexpr double kZoneTie = 0.001;    // by which a node elsewhere, at the same score, comes after one near by
 constexpr double kJoinTie = 0.002;    // and one that needs a call of its own after one with a call open
 constexpr double kColdCaution = 0.6;  // of what a cold node may be sent by the rule
@@ -482,7 +484,9 @@
   while (!v.query_times.empty() && v.query_times.front().first < now - kWindow) v.query_times.pop_front();
   std::vector<Sample> times;
   for (const auto& [when, sample] : v.query_times) times.push_back(sample);
-  const auto in_time = chance_within(times, slo_end(q) - now);
+  // The SLO time runs from the client's first try, of which a later one tells nothing but that it was.
+  const auto used = q.client_retry ? kRetryAge * (q.expires - q.taken) : 0;
+  const auto in_time = chance_within(times, slo_end(q) - used - now);
   const auto late = std::max(0.0, chance_within(times, last_end(q) - now) - in_time);
   const auto many = static_cast<double>(times.size());
   return (many * (in_time + v.late_utility * late) + kHopeWeight) / (many + kHopeWeight);
