--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -36,10 +36,9 @@
 constexpr double kStrainFrom = 0.65;  // part latency to the time a step has above which queries are refused
 constexpr double kStrainFull = 1.0;   // and at which the most are
 constexpr double kMostRefused = 0.95;
-constexpr double kHopeWeight = 2;  // queries that are taken for answered in time before any are known
-constexpr double kHopeless = 0.3;  // prospect below which queries are refused without strain
-constexpr double kRetryAge =
-    0.5;  // of a try's time, taken to have passed before a try that is marked as a retry
+constexpr double kHopeWeight = 2;     // queries that are taken for answered in time before any are known
+constexpr double kHopeless = 0.3;     // prospect below which queries are refused without strain
+constexpr double kRetryAge = 0.7;     // tries' times taken to have passed before a marked retry
 constexpr double kZoneTie = 0.001;    // by which a node elsewhere, at the same score, comes after one near by
 constexpr double kJoinTie = 0.002;    // and one that needs a call of its own after one with a call open
 constexpr double kColdCaution = 0.6;  // of what a cold node may be sent by the rule
