--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -39,6 +39,7 @@
 constexpr double kHopeWeight = 2;     // queries that are taken for answered in time before any are known
 constexpr double kHopeless = 0.3;     // prospect below which queries are refused without strain
 constexpr double kRetryAge = 0.7;     // tries' times taken to have passed before a marked retry
+constexpr double kStandstill = 0.25;  // without any call of the module: the router itself stood still
 constexpr double kZoneTie = 0.001;    // by which a node elsewhere, at the same score, comes after one near by
 constexpr double kJoinTie = 0.002;    // and one that needs a call of its own after one with a call open
 constexpr double kColdCaution = 0.6;  // of what a cold node may be sent by the rule
@@ -154,6 +155,7 @@
   double delay;  // the hedge delay
   std::deque<std::pair<double, Sample>> latencies;
   std::multiset<std::pair<double, double>> waiting;  // its parts that are out: when sent, its queries' time
+  double try_time = 0;                               // what clients leave a query, near the longest
   double query_work = 0;                             // smoothed work of a query; 0: unknown
   std::deque<std::pair<double, Sample>> query_times;
   std::deque<std::pair<double, Sample>> strain;  // part latencies to the time that the step had
@@ -187,6 +189,8 @@
   double typical_out = 0;   // parts out while that was measured
   double mean_density = 0;  // utility for a unit of work, over all queries
   double ticked, ask_after;
+  double called;          // when the module was last called
+  double standstill = 0;  // for how long the router stood still before this round
 
   State(const Settings& s, std::uint64_t seed, double now);
 
@@ -202,6 +206,7 @@
   }
   double last_end(const Query& q) { return q.expires - margin; }
 
+  void wake(double now);
   double out(double now) const;
   void estimate(double now);
   double latency(const Node& node, double now) const;
@@ -218,6 +223,7 @@
   double timeout(const Query& q, double now);
   Answer ending(const Query& q, double now);
   Answer give_up(const Query& q);
+  void date(Query& q, double now);
   double prospect(const Query& q, double now);
   bool refuse(const Query& q, double now);
   double excess(const Leaf& leaf) const;
@@ -248,7 +254,8 @@
       extra_share(s.extra_share),
       chance(static_cast<std::uint_fast32_t>(seed ^ (seed >> 32))),
       ticked(now),
-      ask_after(now) {
+      ask_after(now),
+      called(now) {
   for (const auto& v : s.verticals) verticals.emplace_back(v);
   for (const auto& c : s.customers) {
     const auto rate = c.quota / s.routers;
@@ -256,6 +263,14 @@
   }
 }
 
+// A router that stood still reads old news all at once. Its own pause must not pass for slowness of the
+// nodes, nor the queries that waited for it for new ones.
+void Brain::State::wake(double now) {
+  if (now <= called) return;
+  standstill = now - called > kStandstill ? now - called - kPeriod : 0;
+  called = now;
+}
+
 // Parts out that were sent of late. Those stuck at nodes that answer nothing pile up and tell nothing of the
 // others.
 double Brain::State::out(double now) const {
@@ -491,6 +506,18 @@
   return (many * (in_time + v.late_utility * late) + kHopeWeight) / (many + kHopeWeight);
 }
 
+// A query that has waited while the router stood still was asked earlier, by what its client leaves it less
+// than usual.
+void Brain::State::date(Query& q, double now) {
+  auto& v = of(q);
+  const auto left = q.expires - now;
+  if (standstill > 0) {
+    q.taken = now - std::clamp(v.try_time - left, 0.0, standstill);
+  } else if (!q.client_retry) {
+    v.try_time = std::max(left, v.try_time + kAverageWeight * (left - v.try_time));
+  }
+}
+
 // Refusal by chance under strain, before work is sunk: the less utility a query brings for its work, the
 // likelier.
 bool Brain::State::refuse(const Query& q, double now) {
@@ -533,7 +560,7 @@
 void Brain::State::learn(const Query& q, const Leaf& leaf, const Call& call, double now) {
   auto& v = of(q);
   auto& node = at(call.node);
-  const auto age = now - call.sent;
+  const auto age = std::max(now - call.sent - standstill, 0.0);
   const auto took = std::max(age - excess(leaf), age / 4);
   if (const auto sent = node.waiting.find(call.sent); sent != node.waiting.end()) node.waiting.erase(sent);
   if (const auto sent = v.waiting.find({call.sent, step_time(q)}); sent != v.waiting.end())
@@ -574,6 +601,8 @@
 
 Answer Brain::route(Query& q, double now) {
   auto& s = *s_;
+  s.wake(now);
+  if (!q.admitted) s.date(q, now);
   auto answer = s.ending(q, now);
   if (answer.end == End::merge_whole || answer.end == End::merge_part ||
       (answer.end != End::none && q.admitted)) {
@@ -604,6 +633,7 @@
 
 Answer Brain::settle(Query& q, int leaf_index, int call_index, const Report&, double now) {
   auto& s = *s_;
+  s.wake(now);
   auto& leaf = q.leaves[static_cast<std::size_t>(leaf_index)];
   const auto& call = leaf.calls[static_cast<std::size_t>(call_index)];
   s.learn(q, leaf, call, now);
@@ -672,6 +702,8 @@
 
 Chores Brain::tick(double now) {
   auto& s = *s_;
+  s.wake(now);
+  if (s.standstill > 0) return {};
   s.estimate(now);
   s.ticked = now;
   Chores chores;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -340,6 +340,29 @@
   }
 }
 
+TEST_CASE("a router that stood still takes neither its pause for latency nor old queries for new ones") {
+  for (const bool stood : {false, true}) {
+    CAPTURE(stood);
+    Rig rig(settings(), 60);
+    rig.serve(60, 0.1);
+    std::vector<Query> queries(20, rig.query(0, 1));
+    for (auto& q : queries) rig.route(q);
+    if (stood)
+      rig.now += 0.9;
+    else
+      rig.pass(0.9);
+    for (auto& q : queries) rig.settle(q, 0, Outcome::success);
+    auto old = rig.query(0, 1, 3.2);  // its client had left it 4 s
+    rig.route(old);
+    CHECK((rig.now - old.taken > 0.7) == stood);
+    rig.pass(0.1);
+    auto q = rig.query(0, 1);
+    rig.route(q);
+    rig.now += 0.3;
+    CHECK(rig.route(q).sends.size() == (stood ? 1 : 0));  // the hedge delay has not grown
+  }
+}
+
 TEST_CASE("a burst is refused before the answers can tell of it") {
   for (const int burst : {2, 100}) {
     CAPTURE(burst);
