--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -542,7 +542,10 @@
   // better than answers do, which tell of queries sent before a burst: without this all routers let a burst
   // in.
   const auto parts = static_cast<double>(q.leaves.size());
-  const auto foretold = strain * std::max(1.0, (out(now) + parts) / std::max(typical_out, parts));
+  const auto idle =
+      std::count_if(nodes.begin(), nodes.end(), [](const Node& n) { return n.up; });  // one each is no load
+  const auto usual = std::max({typical_out, parts, static_cast<double>(idle)});
+  const auto foretold = strain * std::max(1.0, (out(now) + parts) / usual);
   const auto refused = std::clamp((foretold - kStrainFrom) / (kStrainFull - kStrainFrom), 0.0, kMostRefused);
   const auto share = std::max(std::min(refused * mean_density / std::max(density, 1e-9), kMostRefused),
                               1 - hope / kHopeless);
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -346,7 +346,7 @@
     Rig rig(settings(), 60);
     rig.serve(60, 0.1);
     std::vector<Query> queries(20, rig.query(0, 1));
-    for (auto& q : queries) rig.route(q);
+    for (auto& q : queries) REQUIRE(rig.route(q).sends.size() == 1);
     if (stood)
       rig.now += 0.9;
     else
