--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -41,7 +41,7 @@
 constexpr double kRetryAge = 0.7;     // tries' times taken to have passed before a marked retry
 constexpr double kStandstill = 0.25;  // without any call of the module: the router itself stood still
 constexpr double kZoneTie = 0.001;    // by which a node elsewhere, at the same score, comes after one near by
-constexpr double kJoinTie = 0.002;    // and one that needs a call of its own after one with a call open
+constexpr double kJoinCost = 0.5;     // of a call: a part that joins one that stands open
 constexpr double kColdCaution = 0.6;  // of what a cold node may be sent by the rule
 constexpr double kRounding = 5e-5;    // weights of a step add up to 1 but for this
 
@@ -348,7 +348,7 @@
 
 double Brain::State::score(const Node& node, double now) {
   return (shunned(node, now) ? kShunned : 1) * latency(node, now) *
-         static_cast<double>(node.groups.size() + (joins(node, now) ? 0 : 1));
+         (static_cast<double>(node.groups.size()) + (joins(node, now) ? kJoinCost : 1));
 }
 
 // The one guard that every send passes.
@@ -399,7 +399,6 @@
         auto& node = at(i);
         if (tried(i) != again || !allowed(q, leaf, node, now)) continue;
         const auto value = score(node, now) * (node.zone == zone ? 1 : 1 + kZoneTie) *
-                           (joins(node, now) ? 1 - kJoinTie : 1) *
                            (1 + 1e-6 * static_cast<double>(chance() % 1000));
         if (value < best) {
           best = value;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -284,9 +284,9 @@
   auto s = settings();
   s.parts_a_call = 4;
   Rig rig(s);
-  auto q = rig.query(0, 3);
+  auto q = rig.query(0, 9);
   const auto answer = rig.route(q);
-  REQUIRE(answer.sends.size() == 3);
+  REQUIRE(answer.sends.size() == 9);
   int together = 0;
   for (const auto& a : answer.sends)
     for (const auto& b : answer.sends) {
