Tallies forget what is past their span; load reports, which decide nothing, are no longer read

A node that was never cold kept every send it ever had: in service memory would have grown without end.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -96,19 +96,22 @@
 // Counts events in a sliding window.
 class Tally {
  public:
+  explicit Tally(double span = 0) : span_(span) {}
   void add(double now, double count = 1) {
+    recent(now);
     events_.emplace_back(now, count);
     total_ += count;
   }
-  double within(double span, double now) {
-    while (!events_.empty() && events_.front().first < now - span) {
+  double recent(double now) {
+    while (!events_.empty() && events_.front().first < now - span_) {
       total_ -= events_.front().second;
       events_.pop_front();
     }
-    return events_.empty() ? 0 : total_;
+    return total_;
   }
 
  private:
+  double span_;
   std::deque<std::pair<double, double>> events_;
   double total_ = 0;
 };
@@ -131,8 +134,8 @@
   std::multiset<double> waiting;  // when the parts that wait there were sent
   int open_group = kNone;         // the call that parts sent at open_at may join
   double open_at = -1;
-  Tally sent;       // parts, over the time in which a cold node may be pushed over
-  Tally completed;  // parts answered, over the window
+  Tally sent;                // parts, over the time in which a cold node may be pushed over
+  Tally completed{kWindow};  // parts answered
 };
 
 struct VerticalState {
@@ -183,7 +186,7 @@
   double part_work = 0;  // smoothed hint of a part's work; 0: no hints
   double average = 0;    // latency of a part, over all nodes
   int next_group = 0;
-  Tally firsts, copies;     // over the window
+  Tally firsts{kWindow}, copies{kWindow};
   Tally taken, extras;      // over the span of the budget
   double strain = 0;        // part latency to the time that a step has
   double typical_out = 0;   // parts out while that was measured
@@ -253,6 +256,8 @@
       extra_free(s.extra_free),
       extra_share(s.extra_share),
       chance(static_cast<std::uint_fast32_t>(seed ^ (seed >> 32))),
+      taken(s.extra_span - margin),   // a little short, and the further calls a little long:
+      extras(s.extra_span + margin),  // so that the budget holds in any window
       ticked(now),
       ask_after(now),
       called(now) {
@@ -362,17 +367,17 @@
     double warm = 0;
     for (auto& other : nodes) {
       if (!other.up || cold(other, now)) continue;
-      carried += other.completed.within(kWindow, now) / kWindow;
+      carried += other.completed.recent(now) / kWindow;
       ++warm;
     }
     // What an average warm node answers this router stands for this router's share of a node's capacity.
     const auto share = cold_start + (1 - cold_start) * std::max(0.0, now - node.born) / cold_time;
     const auto most = warm > 0 ? carried / warm * share * cold_rate * fall_time : 0;
-    if (const_cast<Node&>(node).sent.within(fall_time, now) + 1 > std::max(1.0, most)) return false;
+    if (const_cast<Node&>(node).sent.recent(now) + 1 > std::max(1.0, most)) return false;
   }
   if (!leaf.calls.empty() && extra_span > 0) {  // rule 6
-    const auto most = extra_free + extra_share * taken.within(extra_span - margin, now);
-    if (extras.within(extra_span + margin, now) + 1 > most) return false;
+    const auto most = extra_free + extra_share * taken.recent(now);
+    if (extras.recent(now) + 1 > most) return false;
   }
   return true;
 }
@@ -619,8 +624,8 @@
     const auto& leaf = q.leaves[i];
     if (leaf.in) continue;
     const auto out = std::any_of(leaf.calls.begin(), leaf.calls.end(), pending);
-    const auto sent = s.firsts.within(kWindow, now);
-    const auto copy = s.copy_due(q, leaf, now) && s.copies.within(kWindow, now) + 1 <= kCopyShare * sent;
+    const auto sent = s.firsts.recent(now);
+    const auto copy = s.copy_due(q, leaf, now) && s.copies.recent(now) + 1 <= kCopyShare * sent;
     if (out && !copy) continue;
     double best = 0;
     const auto node = s.choose(q, leaf, copy, now, best);
@@ -633,7 +638,7 @@
   return answer;
 }
 
-Answer Brain::settle(Query& q, int leaf_index, int call_index, const Report&, double now) {
+Answer Brain::settle(Query& q, int leaf_index, int call_index, double now) {
   auto& s = *s_;
   s.wake(now);
   auto& leaf = q.leaves[static_cast<std::size_t>(leaf_index)];
@@ -666,14 +671,15 @@
   s_->taken.add(now, requests);
 }
 
-void Brain::list(std::span<const Host> hosts, bool complete, double now) {
+void Brain::list(std::span<const Host> hosts, bool complete) {
   auto& s = *s_;
   if (complete)
     for (auto& node : s.nodes) node.up = false;
   for (const auto& host : hosts) {
     if (host.cell < 0 || host.cell >= s.cells) continue;
-    if (static_cast<std::size_t>(host.node) >= s.nodes.size())
-      s.nodes.resize(static_cast<std::size_t>(host.node) + 1);
+    Node unheard;
+    unheard.sent = Tally(s.fall_time);
+    s.nodes.resize(std::max(s.nodes.size(), static_cast<std::size_t>(host.node) + 1), unheard);
     auto& node = s.at(host.node);
     auto& cell = s.by_cell[static_cast<std::size_t>(host.cell)];
     if (std::find(cell.begin(), cell.end(), host.node) == cell.end()) {
@@ -690,14 +696,13 @@
     node.born = host.born;
   }
   s.ask_after = kNever;
-  static_cast<void>(now);
 }
 
 void Brain::list_failed(double now) {
   s_->ask_after = now + 2;
 }
 
-void Brain::probed(int index, Outcome outcome, double, const Report&, double now) {
+void Brain::probed(int index, Outcome outcome, double now) {
   auto& node = s_->at(index);
   if (outcome == Outcome::success && node.suspect) node.trial_at = std::min(node.trial_at, now);
 }
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -137,11 +137,6 @@
   bool ask_list = false;
 };
 
-// A load report; a figure that is missing or makes no sense is left out by the reader.
-struct Report {
-  std::optional<double> waiting, busy, cpu, service;
-};
-
 class Brain {
  public:
   Brain(const Settings& settings, std::uint64_t seed, double now);
@@ -151,14 +146,13 @@
 
   // The three questions.
   Answer route(Query& q, double now);
-  Answer settle(Query& q, int leaf, int call, const Report& report,
-                double now);  // the outcome stands in the call
+  Answer settle(Query& q, int leaf, int call, double now);  // the outcome stands in the call
   double wait(const Query& q, double now) const;
 
   void take(int requests, double now);  // so many queries and parts came in
-  void list(std::span<const Host> hosts, bool complete, double now);
+  void list(std::span<const Host> hosts, bool complete);
   void list_failed(double now);
-  void probed(int node, Outcome outcome, double took, const Report& report, double now);
+  void probed(int node, Outcome outcome, double now);
   Chores tick(double now);
   double period() const;
 
--- a/src/wire/instance.cpp
+++ b/src/wire/instance.cpp
@@ -57,7 +57,7 @@
   for (const auto& entry : entries)
     hosts.push_back({node(entry.node), look_up(zones_, entry.zone), entry.cell, entry.status == 'U',
                      entry.size, entry.born});
-  brain_.list(hosts, kind != "incr", now);
+  brain_.list(hosts, kind != "incr");
 }
 
 void Instance::on_demand(Fields& fields, double now) {
@@ -111,7 +111,6 @@
   const auto verdict = outcome(fields.word("verdict"));
   fields.integer("time_taken_us");
   fields.word("final");
-  const auto load = fields.more() ? report(fields.word("health_info")) : Report{};
   const auto at = leaves_.find(id);
   if (at == leaves_.end()) return;
   auto& held = *queries_.at(at->second.first);
@@ -122,7 +121,7 @@
   if (call.outcome != Outcome::pending) return;
   call.outcome = verdict;
   --held.pending;
-  const auto answer = brain_.settle(held.query, leaf, static_cast<int>(number), load, now);
+  const auto answer = brain_.settle(held.query, leaf, static_cast<int>(number), now);
   perform(held, answer, now);
   touch(held);
 }
@@ -147,9 +146,7 @@
 void Instance::on_sampled(Fields& fields, double now) {
   const auto at = nodes_.find(fields.integer("node"));
   const auto verdict = outcome(fields.word("verdict"));
-  const auto took = fields.seconds("time_taken_us", 0);
-  const auto load = fields.more() ? report(fields.word("health_info")) : Report{};
-  if (at != nodes_.end()) brain_.probed(at->second, verdict, took, load, now);
+  if (at != nodes_.end()) brain_.probed(at->second, verdict, now);
 }
 
 void Instance::touch(Held& held) {
--- a/src/wire/text.cpp
+++ b/src/wire/text.cpp
@@ -207,23 +207,6 @@
   complain("verdict", verdict);
 }
 
-Report report(std::string_view text) {
-  Report result;
-  if (text == "-") return result;
-  for (const auto& entry : split(text, ',')) {
-    const auto at = entry.find(':');
-    if (at == std::string::npos) continue;
-    const auto value = to_number(std::string_view(entry).substr(at + 1));
-    if (!value || *value < 0) continue;
-    const auto name = std::string_view(entry).substr(0, at);
-    if (name == "pending") result.waiting = value;
-    if (name == "busy_reqs") result.busy = value;
-    if (name == "cpu_share") result.cpu = value;
-    if (name == "svc_ms") result.service = *value / 1e3;
-  }
-  return result;
-}
-
 long long micros(double seconds) {
   return std::llround(seconds * 1e6);
 }
--- a/src/wire/text.hpp
+++ b/src/wire/text.hpp
@@ -1,4 +1,4 @@
-// Reading and writing the text wire: fields of a line, numbers, load reports. Knows nothing of instances.
+// Reading and writing the text wire: fields of a line, numbers, settings. Knows nothing of instances.
 #pragma once
 
 #include <map>
@@ -19,7 +19,6 @@
 class Fields {
  public:
   explicit Fields(std::string_view line) : rest_(line) {}
-  bool more() const { return !rest_.empty(); }
   std::string_view word(const char* what);
   long long integer(const char* what);
   unsigned long long natural(const char* what);
@@ -42,7 +41,6 @@
 const std::string& required(const Pairs& setup, std::string_view path);
 
 Outcome outcome(std::string_view verdict);
-Report report(std::string_view text);
 long long micros(double seconds);
 
 }  // namespace yoketurn::wire
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -131,7 +131,7 @@
       for (const auto node : rig.brain.tick(rig.now).probes) {
         ++asked;
         CHECK(node == 0);
-        rig.brain.probed(node, probes ? Outcome::success : Outcome::timed_out, 0.01, {}, rig.now);
+        rig.brain.probed(node, probes ? Outcome::success : Outcome::timed_out, rig.now);
       }
       for (std::size_t j = 0; j < q.leaves.size(); ++j)
         if (!q.leaves[j].calls.empty() && q.leaves[j].calls.back().outcome == Outcome::pending)
@@ -202,7 +202,7 @@
     Rig rig;
     std::vector<Host> news{{0, 0, 0, false, 1, 0}};
     if (complete) news = {rig.hosts[1], rig.hosts[2]};
-    rig.brain.list(news, complete, rig.now);
+    rig.brain.list(news, complete);
     CHECK(rig.serve(30, 0.05)[0] == 0);
   }
 }
@@ -211,7 +211,7 @@
   Rig rig;
   rig.serve(100, 0.05);  // 20 a second, 6.7 a node
   rig.hosts[0].born = rig.now;
-  rig.brain.list(rig.hosts, true, rig.now);
+  rig.brain.list(rig.hosts, true);
   CHECK(rig.serve(20, 0.05)[0] <= 3);
   rig.now += 11;
   CHECK(rig.serve(200, 0.05)[0] > 30);
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -40,7 +40,7 @@
  public:
   explicit Rig(const Settings& s = settings(), int nodes = 3) : brain(s, 7, now) {
     for (int i = 0; i < nodes; ++i) hosts.push_back({i, 0, i % s.cells, true, 1, 0});
-    brain.list(hosts, true, now);
+    brain.list(hosts, true);
   }
 
   Query query(int vertical, int parts, double time = 4) {
@@ -65,7 +65,7 @@
     auto& calls = leaf(q, index).calls;
     const auto at = call < 0 ? calls.size() - 1 : static_cast<std::size_t>(call);
     calls[at].outcome = outcome;
-    return brain.settle(q, index, static_cast<int>(at), {}, now);
+    return brain.settle(q, index, static_cast<int>(at), now);
   }
 
   // Queries of one part, each answered after so long; returns the sends each node had.
