--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -578,6 +578,9 @@
   const auto good = call.outcome == Outcome::success;
   if (call.outcome != Outcome::cancelled && call.outcome != Outcome::timed_out) node.answered = now;
   const auto bound = call.outcome == Outcome::cancelled || call.outcome == Outcome::timed_out;
+  // A full node is strain though it answers at once: without this a fleet that turns most parts away
+  // looked idle.
+  if (call.outcome == Outcome::overloaded) v.strain.push_back({now, {1, true}});
   if (good || bound) {
     v.latencies.push_back({now, {took, bound}});
     v.strain.push_back({now, {age / step_time(q), bound}});
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -340,6 +340,24 @@
   }
 }
 
+TEST_CASE("parts turned away by full nodes are strain, though they come back at once") {
+  for (const auto outcome : {Outcome::success, Outcome::overloaded}) {
+    Rig rig;
+    int refused = 0;
+    for (int i = 0; i < 60; ++i) {
+      auto q = rig.query(0, 1);
+      refused += rig.route(q).end == End::reject;
+      rig.now += 0.005;
+      for (int tries = 0; tries < 3 && !q.ended; ++tries) {
+        rig.settle(q, 0, outcome);
+        rig.route(q);
+      }
+      rig.pass(0.02);
+    }
+    CHECK((outcome == Outcome::success ? refused == 0 : refused > 20));
+  }
+}
+
 TEST_CASE("a router that stood still takes neither its pause for latency nor old queries for new ones") {
   for (const bool stood : {false, true}) {
     CAPTURE(stood);
