--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -212,6 +212,7 @@
   void wake(double now);
   double out(double now) const;
   void estimate(double now);
+  double capacity(const Node& node, double now) const;
   double latency(const Node& node, double now) const;
   bool joins(const Node& node, double now) const;
   bool shunned(const Node& node, double now) const;
@@ -312,11 +313,17 @@
   typical_out += (out(now) - typical_out) * std::min(1.0, (now - ticked) / kStrainWindow);
 }
 
+// The least share of its capacity that a node has, by its start and the slowest ramp.
+double Brain::State::capacity(const Node& node, double now) const {
+  return cold(node, now) ? cold_start + (1 - cold_start) * std::max(0.0, now - node.born) / cold_time : 1;
+}
+
 // Smoothed latency, drifting to the average while the node is silent. A part that waits there for longer is a
 // better witness: a node that swallows its work must not look merely unheard.
 double Brain::State::latency(const Node& node, double now) const {
-  double value = average;
-  if (node.latency > 0) value += (node.latency - average) * std::exp(-(now - node.heard) / kDrift);
+  const auto usual = average / capacity(node, now);
+  double value = usual;
+  if (node.latency > 0) value += (node.latency - usual) * std::exp(-(now - node.heard) / kDrift);
   if (!node.waiting.empty()) value = std::max(value, now - *node.waiting.begin());
   return std::max(value, 1e-3);
 }
@@ -371,8 +378,7 @@
       ++warm;
     }
     // What an average warm node answers this router stands for this router's share of a node's capacity.
-    const auto share = cold_start + (1 - cold_start) * std::max(0.0, now - node.born) / cold_time;
-    const auto most = warm > 0 ? carried / warm * share * cold_rate * fall_time : 0;
+    const auto most = warm > 0 ? carried / warm * capacity(node, now) * cold_rate * fall_time : 0;
     if (const_cast<Node&>(node).sent.recent(now) + 1 > std::max(1.0, most)) return false;
   }
   if (!leaf.calls.empty() && extra_span > 0) {  // rule 6
@@ -578,8 +584,8 @@
   const auto good = call.outcome == Outcome::success;
   if (call.outcome != Outcome::cancelled && call.outcome != Outcome::timed_out) node.answered = now;
   const auto bound = call.outcome == Outcome::cancelled || call.outcome == Outcome::timed_out;
-  // A full node is strain though it answers at once: without this a fleet that turns most parts away
-  // looked idle.
+  // A full node is strain though it answers at once: without this a fleet that turns most parts away looked
+  // idle.
   if (call.outcome == Outcome::overloaded) v.strain.push_back({now, {1, true}});
   if (good || bound) {
     v.latencies.push_back({now, {took, bound}});
