--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -43,6 +43,9 @@
 constexpr double kZoneTie = 0.001;    // by which a node elsewhere, at the same score, comes after one near by
 constexpr double kJoinCost = 0.5;     // of a call: a part that joins one that stands open
 constexpr double kColdCaution = 0.6;  // of what a cold node may be sent by the rule
+constexpr double kMargin = 0.02;      // and two ticks, by which answers come before the client's time is up
+constexpr double kListAgain = 2;      // after a failed call for the list
+constexpr double kListPatience = 10;  // and after one that has not been answered
 constexpr double kRounding = 5e-5;    // weights of a step add up to 1 but for this
 
 constexpr double kNever = std::numeric_limits<double>::infinity();
@@ -220,7 +223,7 @@
   double score(const Node& node, double now);
   int choose(const Query& q, const Leaf& leaf, bool copy, double now, double& best);
   bool cold(const Node& node, double now) const { return node.born > 0 && now < node.born + cold_time; }
-  bool allowed(const Query& q, const Leaf& leaf, const Node& node, double now);
+  bool allowed(const Query& q, const Leaf& leaf, Node& node, double now);
   bool resendable(const Query& q, const Leaf& leaf, double now);
   bool copy_due(const Query& q, const Leaf& leaf, double now);
   Send commit(const Query& q, int leaf, int node, bool copy, double now);
@@ -246,7 +249,7 @@
       may_probe(s.may_probe),
       must_ask_list(s.must_ask_list),
       utility_by_work(s.utility_by_work),
-      margin(0.02 + 2 * s.tick),
+      margin(kMargin + 2 * s.tick),
       stay_away(s.max_stay_away),
       over_share(s.over_share),
       cold_time(s.cold_time),
@@ -364,7 +367,7 @@
 }
 
 // The one guard that every send passes.
-bool Brain::State::allowed(const Query& q, const Leaf& leaf, const Node& node, double now) {
+bool Brain::State::allowed(const Query& q, const Leaf& leaf, Node& node, double now) {
   if (q.ended || leaf.in || now >= last_end(q)) return false;  // rule 1
   if (static_cast<int>(leaf.calls.size()) >= max_calls) return false;
   if (!leaf.calls.empty() && !resendable(q, leaf, now)) return false;  // rule 2
@@ -379,7 +382,7 @@
     }
     // What an average warm node answers this router stands for this router's share of a node's capacity.
     const auto most = warm > 0 ? carried / warm * capacity(node, now) * cold_rate * fall_time : 0;
-    if (const_cast<Node&>(node).sent.recent(now) + 1 > std::max(1.0, most)) return false;
+    if (node.sent.recent(now) + 1 > std::max(1.0, most)) return false;
   }
   if (!leaf.calls.empty() && extra_span > 0) {  // rule 6
     const auto most = extra_free + extra_share * taken.recent(now);
@@ -708,7 +711,7 @@
 }
 
 void Brain::list_failed(double now) {
-  s_->ask_after = now + 2;
+  s_->ask_after = now + kListAgain;
 }
 
 void Brain::probed(int index, Outcome outcome, double now) {
@@ -731,7 +734,7 @@
     node.probe_at = now + kFirstPause;
   }
   chores.ask_list = s.must_ask_list && now >= s.ask_after;
-  if (chores.ask_list) s.ask_after = now + 10;
+  if (chores.ask_list) s.ask_after = now + kListPatience;
   return chores;
 }
 
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -401,6 +401,21 @@
   }
 }
 
+TEST_CASE("where the list must be asked for it is asked until it comes") {
+  auto s = settings();
+  s.must_ask_list = true;
+  Brain brain(s, 1, 100);
+  CHECK(brain.tick(100.1).ask_list);
+  CHECK(!brain.tick(100.2).ask_list);
+  brain.list_failed(100.3);
+  CHECK(!brain.tick(100.4).ask_list);
+  brain.tick(102.3);  // the round after a standstill only takes note of it
+  CHECK(brain.tick(102.4).ask_list);
+  brain.list(Rig(s).hosts, false);
+  brain.tick(120);
+  CHECK(!brain.tick(120.1).ask_list);
+}
+
 TEST_CASE("the same events give the same actions") {
   Rig a, b;
   CHECK(a.serve(200, 0.03) == b.serve(200, 0.03));
