Absurd counts and indices on the wire are malformed, at start or in their line, never cast

A shard number beyond an int, or a count of 1e300, was cast and could have stopped the process. Any exception while an instance starts becomes its bug message.

--- a/src/wire/host.cpp
+++ b/src/wire/host.cpp
@@ -26,9 +26,9 @@
   try {
     instances_[name] = std::make_unique<Instance>(name, seed, setup, now_);
     find(name);
-  } catch (const Malformed& error) {
+  } catch (const std::exception& error) {
     fault(name, error.what());
-    throw;
+    throw Malformed(error.what());
   }
 }
 
@@ -42,7 +42,7 @@
     entry.node = fields.integer("node");
     entry.zone = fields.word("zone");
     fields.word("sku");
-    entry.cell = static_cast<int>(fields.number("cell", 0));
+    entry.cell = fields.index("cell");
     entry.status = fields.word("status").front();
     entry.size = fields.number("power_hint", 1);
     entry.born = fields.seconds("born_us", 0);
--- a/src/wire/instance.cpp
+++ b/src/wire/instance.cpp
@@ -69,14 +69,14 @@
   const auto expires = fields.seconds("not_after_us", now);
   const auto work = fields.seconds("effort_us", 0);
   const auto ask = fields.integer("ask_no");
-  const auto shard = fields.integer("range_no");
+  const auto shard = fields.index("range_no");
   const auto measure = fields.number("measure", 0);
   const auto marks = fields.integer("marks");
   const auto hint = (marks & 1) != 0 && work > 0 ? work : 0;
   brain_.take(1, now);
   if (shard >= 0) {
     const auto at = queries_.find(ask);
-    if (at != queries_.end()) take_part(*at->second, id, static_cast<int>(shard), measure, hint);
+    if (at != queries_.end()) take_part(*at->second, id, shard, measure, hint);
     return;
   }
   auto held = std::make_unique<Held>();
@@ -89,7 +89,7 @@
   q.expires = expires;
   q.work = hint;
   q.client_retry = (marks & 2) != 0;
-  q.awaited = static_cast<int>(measure);
+  q.awaited = 1;  // until its parts come, in the same batch
   asks_[id] = ask;
   touch(*held);
   queries_[ask] = std::move(held);
--- a/src/wire/text.cpp
+++ b/src/wire/text.cpp
@@ -8,6 +8,8 @@
 namespace yoketurn::wire {
 namespace {
 
+constexpr double kLargestIndex = 1e6;  // far above any count on the wire, far below what an int holds
+
 std::optional<double> to_number(std::string_view text) {
   double value = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -34,7 +36,11 @@
     return setup_.contains(path) ? number(path, 0) : absent;
   }
   double seconds(const std::string& path) const { return number(path, 0) / 1e6; }
-  int count(const std::string& path, int least) const { return static_cast<int>(number(path, least)); }
+  int count(const std::string& path, int least) const {
+    const auto value = number(path, least);
+    if (value > kLargestIndex) complain(path.c_str(), required(setup_, path));
+    return static_cast<int>(value);
+  }
   bool flag(const std::string& path) const {
     const auto& text = required(setup_, path);
     if (text == "true" || text == "1") return true;
@@ -45,7 +51,7 @@
     std::vector<double> values;
     for (const auto& text : split(required(setup_, path), ',')) {
       const auto value = to_number(text);
-      if (!value || *value < 0) complain(path.c_str(), text);
+      if (!value || *value < 0 || *value > kLargestIndex) complain(path.c_str(), text);
       values.push_back(*value);
     }
     if (values.size() != size) complain(path.c_str(), required(setup_, path));
@@ -90,6 +96,13 @@
   return whole<unsigned long long>(what);
 }
 
+int Fields::index(const char* what) {
+  const auto text = word(what);
+  const auto value = to_number(text);
+  if (!value || std::abs(*value) > kLargestIndex) complain(what, text);
+  return static_cast<int>(*value);
+}
+
 double Fields::number(const char* what, double absent) {
   const auto text = word(what);
   if (text == "-") return absent;
--- a/src/wire/text.hpp
+++ b/src/wire/text.hpp
@@ -22,6 +22,7 @@
   std::string_view word(const char* what);
   long long integer(const char* what);
   unsigned long long natural(const char* what);
+  int index(const char* what);  // a small whole number; anything else is malformed
   double number(const char* what, double absent);
   double seconds(const char* what, double absent);
   std::string_view rest() const { return rest_; }
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -69,6 +69,7 @@
       {"response router-0 51 0 9 splendid 1 1 -", "line 8: verdict: 'splendid'", "end 2\n"},
       {"demand router-0 60 nothing - - 5000000 - 4 -1 1 0", "no such vertical", "end 2\n"},
       {"demand router-0 60", "line 8: service is missing", "end 2\n"},
+      {"demand router-0 60 look - - 5000000 - 4 9999999999 1 0", "line 8: range_no", "end 2\n"},
       {"whatever router-0", "'whatever' is unknown", "end 2\n"},
       {"open_instance router-5 1 balancers=3", "is missing", "bug router-5 setting classes"},
   };
@@ -89,6 +90,12 @@
   }
 }
 
+TEST_CASE("a setting too large to be meant is told at start") {
+  auto start = kStart;
+  start.replace(start.find("domain.places=1"), 15, "domain.places=1e300");
+  CHECK(has(talk(start).out, "bug router-0 domain.places: '1e300' makes no sense"));
+}
+
 TEST_CASE("a list with a number used before replaces the earlier one in event order") {
   const auto said = talk(kStart + "frame 1100000 2\ninventory 0 1\nnode 9 a kind 0 D 1 -\n" +
                          "membership router-0 incr 0 2\ninventory 0 1\nnode 8 a kind 0 U 1 -\n" +
