--- a/src/wire/instance.cpp
+++ b/src/wire/instance.cpp
@@ -79,6 +79,7 @@
     if (at != queries_.end()) take_part(*at->second, id, shard, measure, hint);
     return;
   }
+  if (queries_.contains(ask)) throw Malformed("ask_no: that query is held already");
   auto held = std::make_unique<Held>();
   held->id = id;
   held->ask = ask;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -90,6 +90,14 @@
   }
 }
 
+TEST_CASE("a second query under a number that is held is told and left alone") {
+  const auto said = talk(kStart + "frame 1100000 2\n" + kQuery + "go\nframe 1200000 3\n" +
+                         "demand router-0 70 look - - 5000000 - 3 -1 1 0\n" +
+                         "response router-0 51 0 9 success 100000 1 -\ngo\n");
+  CHECK(has(said.log, "ask_no"));
+  CHECK(has(said.out, "answer router-0 50 1\n"));
+}
+
 TEST_CASE("a setting too large to be meant is told at start") {
   auto start = kStart;
   start.replace(start.find("domain.places=1"), 15, "domain.places=1e300");
