--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -17,7 +17,6 @@
 struct Vertical {
   double slo = 0;          // an answer within it earns the full utility
   double slo_stretch = 0;  // plus this multiple of the query's own work
-  double deadline = 0;     // the client's wait over all its tries
   double utility = 1;
   double late_utility = 0;  // share of the utility after the SLO time
   Effect effect = Effect::repeatable;
@@ -62,8 +61,7 @@
   int node = kNone;
   int zone = kNone;
   int cell = 0;
-  bool up = true;  // false: draining or gone
-  double size = 1;
+  bool up = true;   // false: draining or gone
   double born = 0;  // 0: long ago
 };
 
--- a/src/wire/host.cpp
+++ b/src/wire/host.cpp
@@ -44,7 +44,7 @@
     fields.word("sku");
     entry.cell = fields.index("cell");
     entry.status = fields.word("status").front();
-    entry.size = fields.number("power_hint", 1);
+    fields.word("power_hint");
     entry.born = fields.seconds("born_us", 0);
     filling_->push_back(entry);
     return;
--- a/src/wire/instance.cpp
+++ b/src/wire/instance.cpp
@@ -55,8 +55,8 @@
     throw Malformed("kind: '" + std::string(kind) + "' makes no sense");
   std::vector<yoketurn::Host> hosts;
   for (const auto& entry : entries)
-    hosts.push_back({node(entry.node), look_up(zones_, entry.zone), entry.cell, entry.status == 'U',
-                     entry.size, entry.born});
+    hosts.push_back(
+        {node(entry.node), look_up(zones_, entry.zone), entry.cell, entry.status == 'U', entry.born});
   brain_.list(hosts, kind != "incr");
 }
 
--- a/src/wire/instance.hpp
+++ b/src/wire/instance.hpp
@@ -22,7 +22,6 @@
   std::string zone;
   int cell = 0;
   char status = 'U';
-  double size = 1;
   double born = 0;
 };
 
--- a/src/wire/text.cpp
+++ b/src/wire/text.cpp
@@ -169,7 +169,6 @@
     Vertical v;
     v.slo = read.seconds(path + "aim_us");
     v.slo_stretch = read.optional(path + "aim_stretch", 0);
-    v.deadline = read.seconds(path + "deadline_us");
     v.utility = read.number(path + "credit", 0);
     v.late_utility = read.number(path + "late_worth", 0);
     v.effect = effect(required(setup, path + "semantics"));
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -200,7 +200,7 @@
 TEST_CASE("rule 3: a draining or missing node gets nothing") {
   for (const bool complete : {false, true}) {
     Rig rig;
-    std::vector<Host> news{{0, 0, 0, false, 1, 0}};
+    std::vector<Host> news{{0, 0, 0, false, 0}};
     if (complete) news = {rig.hosts[1], rig.hosts[2]};
     rig.brain.list(news, complete);
     CHECK(rig.serve(30, 0.05)[0] == 0);
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -17,7 +17,6 @@
   for (const auto effect : {Effect::repeatable, Effect::deduplicated, Effect::side_effecting}) {
     Vertical v;
     v.slo = 1;
-    v.deadline = 4;
     v.late_utility = 0.5;
     v.effect = effect;
     v.window = 2;
@@ -39,7 +38,7 @@
 class Rig {
  public:
   explicit Rig(const Settings& s = settings(), int nodes = 3) : brain(s, 7, now) {
-    for (int i = 0; i < nodes; ++i) hosts.push_back({i, 0, i % s.cells, true, 1, 0});
+    for (int i = 0; i < nodes; ++i) hosts.push_back({i, 0, i % s.cells, true, 0});
     brain.list(hosts, true);
   }
 
