Fold repeated windows, smoothing and drift into one each; settings are read once; dead lines go

The pruned window of samples stood three times, the average moved by a sample four times and the drift of a silent node's latency twice; an instance read its start settings twice. Two declarations, two includes and a doubled comment go.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -55,8 +55,6 @@
   bool censored;  // the true value is this or more: the call was cancelled, timed out or is still out
 };
 
-// Product-limit estimate of a quantile. Cancelled calls are the slow ones: to leave them out, or to take
-// their age for a latency, would pull the percentile down and so invite more copies.
 // Quantiles are product-limit estimates. Cancelled calls are the slow ones: to leave them out, or to take
 // their age for a latency, would pull the percentile down and so invite more copies.
 void by_value(std::vector<Sample>& samples) {
@@ -119,6 +117,28 @@
   double total_ = 0;
 };
 
+// The samples of a sliding window.
+class Window {
+ public:
+  explicit Window(double span) : span_(span) {}
+  void add(double now, Sample sample) { samples_.emplace_back(now, sample); }
+  std::vector<Sample> recent(double now) {
+    while (!samples_.empty() && samples_.front().first < now - span_) samples_.pop_front();
+    std::vector<Sample> result;
+    for (const auto& [when, sample] : samples_) result.push_back(sample);
+    return result;
+  }
+
+ private:
+  double span_;
+  std::deque<std::pair<double, Sample>> samples_;
+};
+
+// Moves an average by a sample; 0 stands for one that has none yet.
+void smooth(double& average, double sample) {
+  average = average > 0 ? average + kAverageWeight * (sample - average) : sample;
+}
+
 struct Node {
   int zone = kNone;
   int cell = 0;
@@ -159,14 +179,19 @@
   Effect effect;
   bool two_steps;
   double delay;  // the hedge delay
-  std::deque<std::pair<double, Sample>> latencies;
+  Window latencies{kWindow};
   std::multiset<std::pair<double, double>> waiting;  // its parts that are out: when sent, its queries' time
   double try_time = 0;                               // what clients leave a query, near the longest
   double query_work = 0;                             // smoothed work of a query; 0: unknown
-  std::deque<std::pair<double, Sample>> query_times;
-  std::deque<std::pair<double, Sample>> strain;  // part latencies to the time that the step had
+  Window query_times{kWindow};
+  Window strain{kStrainWindow};  // part latencies to the time that the step had
 };
 
+// A node's smoothed latency, which nears the usual one while it is silent.
+double drifted(const Node& node, double usual, double now) {
+  return node.latency > 0 ? usual + (node.latency - usual) * std::exp(-(now - node.heard) / kDrift) : usual;
+}
+
 struct Bucket {
   double rate = 0;  // this router's part of the customer's share
   double level = 0;
@@ -295,18 +320,15 @@
   std::vector<Sample> samples_of_all;
   double needed = 0;
   for (auto& v : verticals) {
-    while (!v.latencies.empty() && v.latencies.front().first < now - kWindow) v.latencies.pop_front();
-    std::vector<Sample> samples;
-    for (const auto& [when, sample] : v.latencies) samples.push_back(sample);
+    auto samples = v.latencies.recent(now);
+    const auto many = static_cast<double>(samples.size());
     const auto before = static_cast<double>(samples_of_all.size());
     for (const auto& [sent, time] : v.waiting) {
       samples.push_back({now - sent, true});
       if (now - sent <= kStrainWindow) samples_of_all.push_back({(now - sent) / time, true});
     }
-    while (!v.strain.empty() && v.strain.front().first < now - kStrainWindow) v.strain.pop_front();
-    for (const auto& [when, sample] : v.strain) samples_of_all.push_back(sample);
+    for (const auto& sample : v.strain.recent(now)) samples_of_all.push_back(sample);
     needed += v.least * (static_cast<double>(samples_of_all.size()) - before);
-    const auto many = static_cast<double>(v.latencies.size());
     v.delay = (many * quantile(samples, kHedgeQuantile) + kStartWeight * kStartShare * v.slo) /
               (many + kStartWeight);
   }
@@ -324,9 +346,7 @@
 // Smoothed latency, drifting to the average while the node is silent. A part that waits there for longer is a
 // better witness: a node that swallows its work must not look merely unheard.
 double Brain::State::latency(const Node& node, double now) const {
-  const auto usual = average / capacity(node, now);
-  double value = usual;
-  if (node.latency > 0) value += (node.latency - usual) * std::exp(-(now - node.heard) / kDrift);
+  auto value = drifted(node, average / capacity(node, now), now);
   if (!node.waiting.empty()) value = std::max(value, now - *node.waiting.begin());
   return std::max(value, 1e-3);
 }
@@ -445,8 +465,7 @@
   node.sent.add(now);
   if (leaf.calls.empty()) {
     firsts.add(now);
-    if (leaf.work > 0)
-      part_work = part_work > 0 ? part_work + kAverageWeight * (leaf.work - part_work) : leaf.work;
+    if (leaf.work > 0) smooth(part_work, leaf.work);
   }
   if (copy) copies.add(now);
   if (!leaf.calls.empty()) extras.add(now);
@@ -508,9 +527,7 @@
 // queries of its vertical have taken of late.
 double Brain::State::prospect(const Query& q, double now) {
   auto& v = of(q);
-  while (!v.query_times.empty() && v.query_times.front().first < now - kWindow) v.query_times.pop_front();
-  std::vector<Sample> times;
-  for (const auto& [when, sample] : v.query_times) times.push_back(sample);
+  auto times = v.query_times.recent(now);
   // The SLO time runs from the client's first try, of which a later one tells nothing but that it was.
   const auto used = q.client_retry ? kRetryAge * (q.expires - q.taken) : 0;
   const auto in_time = chance_within(times, slo_end(q) - used - now);
@@ -537,7 +554,7 @@
   auto& v = of(q);
   double work = q.work;
   if (work <= 0) work = std::max(average, 1e-3) * static_cast<double>(q.leaves.size());
-  v.query_work = v.query_work > 0 ? v.query_work + kAverageWeight * (work - v.query_work) : work;
+  smooth(v.query_work, work);
   auto density = v.utility / (utility_by_work ? v.query_work : work);
   if (q.customer != kNone) {
     auto& bucket = customers[static_cast<std::size_t>(q.customer)];
@@ -550,7 +567,7 @@
   // work for nothing, and its client asks again: a few such clients can bring all nodes down.
   const auto hope = prospect(q, now);
   density *= hope;
-  mean_density = mean_density > 0 ? mean_density + kAverageWeight * (density - mean_density) : density;
+  smooth(mean_density, density);
   // By Little's law latency grows with what is out. The parts already out foretell the latency of this query
   // better than answers do, which tell of queries sent before a burst: without this all routers let a burst
   // in.
@@ -565,7 +582,6 @@
   return std::uniform_real_distribution<>(0, 1)(chance) < share;
 }
 
-// What an outcome tells of the node and of the latencies.
 // By how much longer a part should take than an average one, by its hint. Bounded, so that a wrong hint does
 // no harm.
 double Brain::State::excess(const Leaf& leaf) const {
@@ -573,6 +589,7 @@
   return std::clamp(leaf.work - part_work, -part_work, 2 * part_work);
 }
 
+// What an outcome tells of the node and of the latencies.
 void Brain::State::learn(const Query& q, const Leaf& leaf, const Call& call, double now) {
   auto& v = of(q);
   auto& node = at(call.node);
@@ -589,21 +606,19 @@
   const auto bound = call.outcome == Outcome::cancelled || call.outcome == Outcome::timed_out;
   // A full node is strain though it answers at once: without this a fleet that turns most parts away looked
   // idle.
-  if (call.outcome == Outcome::overloaded) v.strain.push_back({now, {1, true}});
+  if (call.outcome == Outcome::overloaded) v.strain.add(now, {1, true});
   if (good || bound) {
-    v.latencies.push_back({now, {took, bound}});
-    v.strain.push_back({now, {age / step_time(q), bound}});
+    v.latencies.add(now, {took, bound});
+    v.strain.add(now, {age / step_time(q), bound});
   }
   if (good) {
-    average = average > 0 ? average + kAverageWeight * (took - average) : took;
+    smooth(average, took);
     node.completed.add(now);
     node.bad_row = 0;
   } else {
     ++node.bad_row;
   }
-  const auto held = node.latency > 0
-                        ? average + (node.latency - average) * std::exp(-(now - node.heard) / kDrift)
-                        : average;
+  const auto held = drifted(node, average, now);
   // A quick failure counts as the time it costs, not the time it took: else the node would look fast and draw
   // all traffic. A cancelled or overdue call took at least its age.
   const auto value = good ? took : bound ? std::max(took, held) : std::max(v.slo, held);
@@ -626,8 +641,7 @@
   if (answer.end == End::merge_whole || answer.end == End::merge_part ||
       (answer.end != End::none && q.admitted)) {
     const auto bound = answer.end == End::reject || answer.end == End::abort;
-    if (bound || q.step == 2 || !s.of(q).two_steps)
-      s.of(q).query_times.push_back({now, {now - q.taken, bound}});
+    if (bound || q.step == 2 || !s.of(q).two_steps) s.of(q).query_times.add(now, {now - q.taken, bound});
   }
   if (answer.end != End::none || q.awaited > 0) return answer;
   if (!q.admitted && s.refuse(q, now)) return s.give_up(q);
@@ -687,10 +701,10 @@
   auto& s = *s_;
   if (complete)
     for (auto& node : s.nodes) node.up = false;
+  Node unheard;
+  unheard.sent = Tally(s.fall_time);
   for (const auto& host : hosts) {
     if (host.cell < 0 || host.cell >= s.cells) continue;
-    Node unheard;
-    unheard.sent = Tally(s.fall_time);
     s.nodes.resize(std::max(s.nodes.size(), static_cast<std::size_t>(host.node) + 1), unheard);
     auto& node = s.at(host.node);
     auto& cell = s.by_cell[static_cast<std::size_t>(host.cell)];
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <span>
 #include <vector>
 
--- a/src/wire/instance.cpp
+++ b/src/wire/instance.cpp
@@ -26,12 +26,16 @@
 }  // namespace
 
 Instance::Instance(std::string name, std::uint64_t seed, const Pairs& setup, double now)
+    : Instance(std::move(name), seed, setup, settings(setup), now) {}
+
+Instance::Instance(std::string name, std::uint64_t seed, const Pairs& setup, const Settings& start,
+                   double now)
     : name_(std::move(name)),
-      brain_(settings(setup), seed, now),
+      brain_(start, seed, now),
       verticals_(index(names(setup, "classes"))),
       customers_(index(names(setup, "customers"))),
       zones_(index(split(required(setup, "zones"), ','))) {
-  for (const auto& vertical : settings(setup).verticals) second_steps_.push_back(vertical.second_step);
+  for (const auto& vertical : start.verticals) second_steps_.push_back(vertical.second_step);
 }
 
 template <class... Parts>
--- a/src/wire/instance.hpp
+++ b/src/wire/instance.hpp
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -48,8 +47,7 @@
     bool touched = false;
   };
 
-  int vertical(std::string_view name) const;
-  int zone(std::string_view name);
+  Instance(std::string name, std::uint64_t seed, const Pairs& setup, const Settings& start, double now);
   int node(long long id);
   void touch(Held& held);
   void schedule(Held& held, double due);
