--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -22,6 +22,7 @@
 constexpr double kHedgeQuantile = 0.95;  // of the part latencies: the hedge delay
 constexpr double kStartShare = 0.25;     // of the SLO time: the hedge delay before anything is known
 constexpr double kStartWeight = 10;      // samples that the start value counts as
+constexpr double kLost = 4;  // times the p90 of answered parts after which one is lost, not slow
 constexpr double kCopyShare = 0.1;       // copies to parts sent, at most
 constexpr double kSmoothing = 0.2;       // weight of a new sample in a node's latency
 constexpr double kAverageWeight = 0.02;  // and in the average of all nodes
@@ -82,6 +83,12 @@
   return 1 - above;
 }
 
+// The age from which an unanswered part tells of a lost answer rather than of a slow one.
+double lost_after(std::vector<Sample> samples) {
+  std::erase_if(samples, [](const Sample& s) { return s.censored; });
+  return static_cast<double>(samples.size()) < kStartWeight ? kNever : kLost * quantile(samples, 0.9);
+}
+
 bool never_ran(Outcome outcome) {
   return outcome == Outcome::overloaded || outcome == Outcome::unreachable || outcome == Outcome::unsent;
 }
@@ -327,6 +334,10 @@
       samples.push_back({now - sent, true});
       if (now - sent <= kStrainWindow) samples_of_all.push_back({(now - sent) / time, true});
     }
+    // Answers that never come have no latency: with their age they would pull the delay up to the SLO time, and
+    // no copy would go out in time for just the parts that need one.
+    const auto lost = lost_after(samples);
+    std::erase_if(samples, [&](const Sample& s) { return s.censored && s.value > lost; });
     for (const auto& sample : v.strain.recent(now)) samples_of_all.push_back(sample);
     needed += v.least * (static_cast<double>(samples_of_all.size()) - before);
     v.delay = (many * quantile(samples, kHedgeQuantile) + kStartWeight * kStartShare * v.slo) /
