--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -22,7 +22,7 @@
 constexpr double kHedgeQuantile = 0.95;  // of the part latencies: the hedge delay
 constexpr double kStartShare = 0.25;     // of the SLO time: the hedge delay before anything is known
 constexpr double kStartWeight = 10;      // samples that the start value counts as
-constexpr double kLost = 4;  // times the p90 of answered parts after which one is lost, not slow
+constexpr double kLost = 4;              // times the p90 of answered parts after which one is lost, not slow
 constexpr double kCopyShare = 0.1;       // copies to parts sent, at most
 constexpr double kSmoothing = 0.2;       // weight of a new sample in a node's latency
 constexpr double kAverageWeight = 0.02;  // and in the average of all nodes
@@ -168,6 +168,12 @@
   Tally completed{kWindow};  // parts answered
 };
 
+// The nodes of one zone, as this router reaches them.
+struct Way {
+  Window latencies{kStrainWindow};
+  double factor = 1;  // its median latency to that of all
+};
+
 struct VerticalState {
   explicit VerticalState(const Vertical& v)
       : slo(v.slo),
@@ -211,6 +217,7 @@
   std::vector<VerticalState> verticals;
   std::vector<Bucket> customers;
   std::vector<Node> nodes;
+  std::vector<Way> ways;
   std::vector<std::vector<int>> by_cell;
   int zone, max_calls, parts_a_call, cells, span;
   bool may_copy, may_cancel, may_probe, must_ask_list, utility_by_work;
@@ -247,6 +254,10 @@
   void wake(double now);
   double out(double now) const;
   void estimate(double now);
+  void compare_ways(double now);
+  double usual(const Node& node) const {
+    return average * (node.zone == kNone ? 1 : ways[static_cast<std::size_t>(node.zone)].factor);
+  }
   double capacity(const Node& node, double now) const;
   double latency(const Node& node, double now) const;
   bool joins(const Node& node, double now) const;
@@ -334,8 +345,8 @@
       samples.push_back({now - sent, true});
       if (now - sent <= kStrainWindow) samples_of_all.push_back({(now - sent) / time, true});
     }
-    // Answers that never come have no latency: with their age they would pull the delay up to the SLO time, and
-    // no copy would go out in time for just the parts that need one.
+    // Answers that never come have no latency: with their age they would pull the delay up to the SLO time,
+    // and no copy would go out in time for just the parts that need one.
     const auto lost = lost_after(samples);
     std::erase_if(samples, [&](const Sample& s) { return s.censored && s.value > lost; });
     for (const auto& sample : v.strain.recent(now)) samples_of_all.push_back(sample);
@@ -349,6 +360,26 @@
   typical_out += (out(now) - typical_out) * std::min(1.0, (now - ticked) / kStrainWindow);
 }
 
+// A way between zones that has become slow is one cause behind many nodes. A router with a part a node now
+// and then would learn it anew of each and forget it in between, so nodes not heard of late take the latency
+// of their way.
+void Brain::State::compare_ways(double now) {
+  std::vector<Sample> all;
+  std::vector<std::vector<Sample>> by_way;
+  for (auto& way : ways) by_way.push_back(way.latencies.recent(now));
+  for (const auto& node : nodes)
+    if (node.zone != kNone)
+      for (const auto sent : node.waiting)
+        if (now - sent <= kStrainWindow)
+          by_way[static_cast<std::size_t>(node.zone)].push_back({now - sent, true});
+  for (const auto& samples : by_way) all.insert(all.end(), samples.begin(), samples.end());
+  const auto median = quantile(all, 0.5);
+  for (std::size_t i = 0; i < ways.size(); ++i)
+    ways[i].factor = static_cast<double>(by_way[i].size()) < kStartWeight || median <= 0
+                         ? 1
+                         : quantile(by_way[i], 0.5) / median;
+}
+
 // The least share of its capacity that a node has, by its start and the slowest ramp.
 double Brain::State::capacity(const Node& node, double now) const {
   return cold(node, now) ? cold_start + (1 - cold_start) * std::max(0.0, now - node.born) / cold_time : 1;
@@ -357,7 +388,7 @@
 // Smoothed latency, drifting to the average while the node is silent. A part that waits there for longer is a
 // better witness: a node that swallows its work must not look merely unheard.
 double Brain::State::latency(const Node& node, double now) const {
-  auto value = drifted(node, average / capacity(node, now), now);
+  auto value = drifted(node, usual(node) / capacity(node, now), now);
   if (!node.waiting.empty()) value = std::max(value, now - *node.waiting.begin());
   return std::max(value, 1e-3);
 }
@@ -620,6 +651,7 @@
   if (call.outcome == Outcome::overloaded) v.strain.add(now, {1, true});
   if (good || bound) {
     v.latencies.add(now, {took, bound});
+    if (node.zone != kNone) ways[static_cast<std::size_t>(node.zone)].latencies.add(now, {took, bound});
     v.strain.add(now, {age / step_time(q), bound});
   }
   if (good) {
@@ -629,7 +661,7 @@
   } else {
     ++node.bad_row;
   }
-  const auto held = drifted(node, average, now);
+  const auto held = drifted(node, usual(node), now);
   // A quick failure counts as the time it costs, not the time it took: else the node would look fast and draw
   // all traffic. A cancelled or overdue call took at least its age.
   const auto value = good ? took : bound ? std::max(took, held) : std::max(v.slo, held);
@@ -725,6 +757,7 @@
     }
     node.cell = host.cell;
     node.zone = host.zone;
+    s.ways.resize(std::max(s.ways.size(), static_cast<std::size_t>(host.zone + 1)));
     node.up = host.up;
     if (host.born != node.born) {
       node.latency = 0;  // a new process: what was learned of the old one says nothing
@@ -749,6 +782,7 @@
   s.wake(now);
   if (s.standstill > 0) return {};
   s.estimate(now);
+  s.compare_ways(now);
   s.ticked = now;
   Chores chores;
   for (std::size_t i = 0; i < s.nodes.size(); ++i) {
