--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -27,6 +27,7 @@
 constexpr double kSmoothing = 0.2;       // weight of a new sample in a node's latency
 constexpr double kAverageWeight = 0.02;  // and in the average of all nodes
 constexpr double kDrift = 5;             // a silent node's latency nears the average with this time constant
+constexpr double kWaySlow = 1.5;         // times the median of all from which a zone counts as slow to reach
 constexpr int kProbation = 3;            // bad outcomes in a row after which a node is suspect
 constexpr double kSilence = 3;           // average latencies without any answer after which it is too
 constexpr double kFirstPause = 1;        // until a suspect node is tried again, if no probe comes back before
@@ -374,10 +375,11 @@
           by_way[static_cast<std::size_t>(node.zone)].push_back({now - sent, true});
   for (const auto& samples : by_way) all.insert(all.end(), samples.begin(), samples.end());
   const auto median = quantile(all, 0.5);
-  for (std::size_t i = 0; i < ways.size(); ++i)
-    ways[i].factor = static_cast<double>(by_way[i].size()) < kStartWeight || median <= 0
-                         ? 1
-                         : quantile(by_way[i], 0.5) / median;
+  for (std::size_t i = 0; i < ways.size(); ++i) {
+    const auto known = median > 0 && static_cast<double>(by_way[i].size()) >= kStartWeight;
+    const auto factor = known ? quantile(by_way[i], 0.5) / median : 1;
+    ways[i].factor = factor > kWaySlow ? factor : 1;
+  }
 }
 
 // The least share of its capacity that a node has, by its start and the slowest ramp.
