--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -412,7 +412,9 @@
 void Brain::State::watch(Node& node, double now) {
   const auto silent = !node.waiting.empty() && node.answered < *node.waiting.begin() &&
                       now - *node.waiting.begin() > kSilence * std::max(average, node.latency);
-  if (!silent && node.bad_row < kProbation) {
+  // Only an answer clears it: where a router has a part there now and then, the one that was swallowed is
+  // given up long before a second could bear witness, and the node was forgotten.
+  if (!silent && node.bad_row < (node.suspect ? 1 : kProbation)) {
     node.suspect = false;
     node.pause = kFirstPause;
   } else if (!node.suspect || now >= node.trial_at) {
