--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -175,6 +175,13 @@
   double factor = 1;  // its median latency to that of all
 };
 
+struct Out {
+  double sent;
+  double time;  // that its query has for the step
+  int node;
+  auto operator<=>(const Out&) const = default;
+};
+
 struct VerticalState {
   explicit VerticalState(const Vertical& v)
       : slo(v.slo),
@@ -194,9 +201,9 @@
   bool two_steps;
   double delay;  // the hedge delay
   Window latencies{kWindow};
-  std::multiset<std::pair<double, double>> waiting;  // its parts that are out: when sent, its queries' time
-  double try_time = 0;                               // what clients leave a query, near the longest
-  double query_work = 0;                             // smoothed work of a query; 0: unknown
+  std::multiset<Out> waiting;  // its parts that are out
+  double try_time = 0;         // what clients leave a query, near the longest
+  double query_work = 0;       // smoothed work of a query; 0: unknown
   Window query_times{kWindow};
   Window strain{kStrainWindow};  // part latencies to the time that the step had
 };
@@ -329,7 +336,7 @@
 double Brain::State::out(double now) const {
   std::ptrdiff_t parts = 0;
   for (const auto& v : verticals)
-    parts += std::distance(v.waiting.lower_bound({now - kStrainWindow, 0}), v.waiting.end());
+    parts += std::distance(v.waiting.lower_bound({now - kStrainWindow, 0, 0}), v.waiting.end());
   return static_cast<double>(parts);
 }
 
@@ -342,7 +349,8 @@
     auto samples = v.latencies.recent(now);
     const auto many = static_cast<double>(samples.size());
     const auto before = static_cast<double>(samples_of_all.size());
-    for (const auto& [sent, time] : v.waiting) {
+    for (const auto& [sent, time, node] : v.waiting) {
+      if (at(node).suspect) continue;
       samples.push_back({now - sent, true});
       if (now - sent <= kStrainWindow) samples_of_all.push_back({(now - sent) / time, true});
     }
@@ -507,7 +515,7 @@
   node.open_at = now;
   ++node.groups[node.open_group];
   node.waiting.insert(now);
-  of(q).waiting.insert({now, step_time(q)});
+  of(q).waiting.insert({now, step_time(q), node_index});
   node.sent.add(now);
   if (leaf.calls.empty()) {
     firsts.add(now);
@@ -642,7 +650,7 @@
   const auto age = std::max(now - call.sent - standstill, 0.0);
   const auto took = std::max(age - excess(leaf), age / 4);
   if (const auto sent = node.waiting.find(call.sent); sent != node.waiting.end()) node.waiting.erase(sent);
-  if (const auto sent = v.waiting.find({call.sent, step_time(q)}); sent != v.waiting.end())
+  if (const auto sent = v.waiting.find({call.sent, step_time(q), call.node}); sent != v.waiting.end())
     v.waiting.erase(sent);
   if (const auto group = node.groups.find(call.group); group != node.groups.end() && --group->second <= 0)
     node.groups.erase(group);
@@ -653,7 +661,8 @@
   // A full node is strain though it answers at once: without this a fleet that turns most parts away looked
   // idle.
   if (call.outcome == Outcome::overloaded) v.strain.add(now, {1, true});
-  if (good || bound) {
+  // What a suspect node holds back tells of that node, not of the others.
+  if (good || (bound && !node.suspect)) {
     v.latencies.add(now, {took, bound});
     if (node.zone != kNone) ways[static_cast<std::size_t>(node.zone)].latencies.add(now, {took, bound});
     v.strain.add(now, {age / step_time(q), bound});
