--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -277,6 +277,7 @@
   bool allowed(const Query& q, const Leaf& leaf, Node& node, double now);
   bool resendable(const Query& q, const Leaf& leaf, double now);
   bool copy_due(const Query& q, const Leaf& leaf, double now);
+  bool lost(const Query& q, const Leaf& leaf, double now);
   Send commit(const Query& q, int leaf, int node, bool copy, double now);
   double timeout(const Query& q, double now);
   Answer ending(const Query& q, double now);
@@ -503,6 +504,16 @@
          now >= leaf.calls[0].sent + of(q).delay + excess(leaf) - 1e-6 && now < slo_end(q);
 }
 
+// A part is given up and sent again where each call that is out has outlived the hedge delay at a node that
+// is suspect and has answered nothing since. Without this a query whose copies are used up waits in vain for
+// its last part.
+bool Brain::State::lost(const Query& q, const Leaf& leaf, double now) {
+  return may_cancel && std::all_of(leaf.calls.begin(), leaf.calls.end(), [&](const Call& call) {
+           return !pending(call) || (at(call.node).suspect && at(call.node).answered < call.sent &&
+                                     now >= call.sent + of(q).delay + excess(leaf));
+         });
+}
+
 // A leaf call is given all the time in which its answer is worth something.
 double Brain::State::timeout(const Query& q, double now) {
   return (of(q).late_utility > 0 ? last_end(q) : slo_end(q)) - now;
@@ -708,13 +719,16 @@
     const auto out = std::any_of(leaf.calls.begin(), leaf.calls.end(), pending);
     const auto sent = s.firsts.recent(now);
     const auto copy = s.copy_due(q, leaf, now) && s.copies.recent(now) + 1 <= kCopyShare * sent;
-    if (out && !copy) continue;
+    const auto again = out && !copy && s.lost(q, leaf, now);
+    if (out && !copy && !again) continue;
     double best = 0;
-    const auto node = s.choose(q, leaf, copy, now, best);
+    const auto node = s.choose(q, leaf, out, now, best);
     if (node == kNone) continue;
     // A copy helps where the other replica can be expected to answer within the very delay that made
     // this one late. When all are slow, or the others queue too, it would only add to the load.
-    if (copy && best > s.of(q).delay) continue;
+    if (out && best > s.of(q).delay) continue;
+    for (std::size_t call = 0; again && call < leaf.calls.size(); ++call)
+      if (pending(leaf.calls[call])) answer.cancels.push_back({static_cast<int>(i), static_cast<int>(call)});
     answer.sends.push_back(s.commit(q, static_cast<int>(i), node, copy, now));
   }
   return answer;
