--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -235,6 +235,7 @@
   std::ranlux24_base chance;
   double part_work = 0;  // smoothed hint of a part's work; 0: no hints
   double average = 0;    // latency of a part, over all nodes
+  double median = 0;     // that of the last moments, with what is out
   int next_group = 0;
   Tally firsts{kWindow}, copies{kWindow};
   Tally taken, extras;      // over the span of the budget
@@ -383,7 +384,7 @@
         if (now - sent <= kStrainWindow)
           by_way[static_cast<std::size_t>(node.zone)].push_back({now - sent, true});
   for (const auto& samples : by_way) all.insert(all.end(), samples.begin(), samples.end());
-  const auto median = quantile(all, 0.5);
+  median = quantile(all, 0.5);
   for (std::size_t i = 0; i < ways.size(); ++i) {
     const auto known = median > 0 && static_cast<double>(by_way[i].size()) >= kStartWeight;
     const auto factor = known ? quantile(by_way[i], 0.5) / median : 1;
@@ -420,7 +421,7 @@
 // ago. The trials of a bad node cost a query each, so they become rarer while they fail.
 void Brain::State::watch(Node& node, double now) {
   const auto silent = !node.waiting.empty() && node.answered < *node.waiting.begin() &&
-                      now - *node.waiting.begin() > kSilence * std::max(average, node.latency);
+                      now - *node.waiting.begin() > kSilence * std::max({average, median, node.latency});
   // Only an answer clears it: where a router has a part there now and then, the one that was swallowed is
   // given up long before a second could bear witness, and the node was forgotten.
   if (!silent && node.bad_row < (node.suspect ? 1 : kProbation)) {
