--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -142,10 +142,20 @@
   std::deque<std::pair<double, Sample>> samples_;
 };
 
-// Moves an average by a sample; 0 stands for one that has none yet.
-void smooth(double& average, double sample) {
-  average = average > 0 ? average + kAverageWeight * (sample - average) : sample;
-}
+// A smoothed average. The first samples weigh as in a plain mean: a router that sees a query a second would
+// else go by its very first one for a minute.
+class Smoothed {
+ public:
+  void add(double sample) {
+    many_ = std::min(many_ + 1, 1 / kAverageWeight);
+    value_ += (sample - value_) / many_;
+  }
+  operator double() const { return value_; }  // 0: no sample yet
+
+ private:
+  double value_ = 0;
+  double many_ = 0;
+};
 
 struct Node {
   int zone = kNone;
@@ -203,7 +213,7 @@
   Window latencies{kWindow};
   std::multiset<Out> waiting;  // its parts that are out
   double try_time = 0;         // what clients leave a query, near the longest
-  double query_work = 0;       // smoothed work of a query; 0: unknown
+  Smoothed query_work;
   Window query_times{kWindow};
   Window strain{kStrainWindow};  // part latencies to the time that the step had
 };
@@ -233,15 +243,15 @@
   double cold_time, cold_start, cold_rate, fall_time;
   double extra_span, extra_free, extra_share;
   std::ranlux24_base chance;
-  double part_work = 0;  // smoothed hint of a part's work; 0: no hints
-  double average = 0;    // latency of a part, over all nodes
-  double median = 0;     // that of the last moments, with what is out
+  Smoothed part_work;  // by the hints
+  Smoothed average;    // latency of a part, over all nodes
+  double median = 0;   // that of the last moments, with what is out
   int next_group = 0;
   Tally firsts{kWindow}, copies{kWindow};
-  Tally taken, extras;      // over the span of the budget
-  double strain = 0;        // part latency to the time that a step has
-  double typical_out = 0;   // parts out while that was measured
-  double mean_density = 0;  // utility for a unit of work, over all queries
+  Tally taken, extras;     // over the span of the budget
+  double strain = 0;       // part latency to the time that a step has
+  double typical_out = 0;  // parts out while that was measured
+  Smoothed mean_density;   // utility for a unit of work, over all queries
   double ticked, ask_after;
   double called;          // when the module was last called
   double standstill = 0;  // for how long the router stood still before this round
@@ -420,8 +430,9 @@
 // Three bad outcomes in a row, or no answer at all since a part was sent that should have been answered long
 // ago. The trials of a bad node cost a query each, so they become rarer while they fail.
 void Brain::State::watch(Node& node, double now) {
-  const auto silent = !node.waiting.empty() && node.answered < *node.waiting.begin() &&
-                      now - *node.waiting.begin() > kSilence * std::max({average, median, node.latency});
+  const auto silent =
+      !node.waiting.empty() && node.answered < *node.waiting.begin() &&
+      now - *node.waiting.begin() > kSilence * std::max({double(average), median, node.latency});
   // Only an answer clears it: where a router has a part there now and then, the one that was swallowed is
   // given up long before a second could bear witness, and the node was forgotten.
   if (!silent && node.bad_row < (node.suspect ? 1 : kProbation)) {
@@ -531,7 +542,7 @@
   node.sent.add(now);
   if (leaf.calls.empty()) {
     firsts.add(now);
-    if (leaf.work > 0) smooth(part_work, leaf.work);
+    if (leaf.work > 0) part_work.add(leaf.work);
   }
   if (copy) copies.add(now);
   if (!leaf.calls.empty()) extras.add(now);
@@ -619,8 +630,8 @@
 bool Brain::State::refuse(const Query& q, double now) {
   auto& v = of(q);
   double work = q.work;
-  if (work <= 0) work = std::max(average, 1e-3) * static_cast<double>(q.leaves.size());
-  smooth(v.query_work, work);
+  if (work <= 0) work = (part_work > 0 ? part_work : 1.0) * static_cast<double>(q.leaves.size());
+  v.query_work.add(work);
   auto density = v.utility / (utility_by_work ? v.query_work : work);
   if (q.customer != kNone) {
     auto& bucket = customers[static_cast<std::size_t>(q.customer)];
@@ -633,7 +644,7 @@
   // work for nothing, and its client asks again: a few such clients can bring all nodes down.
   const auto hope = prospect(q, now);
   density *= hope;
-  smooth(mean_density, density);
+  mean_density.add(density);
   // By Little's law latency grows with what is out. The parts already out foretell the latency of this query
   // better than answers do, which tell of queries sent before a burst: without this all routers let a burst
   // in.
@@ -680,7 +691,7 @@
     v.strain.add(now, {age / step_time(q), bound});
   }
   if (good) {
-    smooth(average, took);
+    average.add(took);
     node.completed.add(now);
     node.bad_row = 0;
   } else {
