--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -495,6 +495,9 @@
   };
   for (const bool again : {false, true}) {
     if (again && (copy || chosen != kNone)) break;
+    // All calls of a part could else be spent within a few ms at the one node that is left and turns them
+    // away.
+    if (again && (leaf.calls.empty() || now < leaf.calls.back().sent + of(q).delay)) break;
     for (int j = 0; j < span; ++j) {
       for (const auto i : by_cell[static_cast<std::size_t>((leaf.shard + j) % cells)]) {
         auto& node = at(i);
