--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -268,6 +268,12 @@
   double step_time(const Query& q) {
     return std::max(slo_end(q) - q.taken, margin) / (of(q).two_steps ? 2 : 1);
   }
+  // The time of a step where the client waits to the SLO time. Strain is measured against it: what the
+  // hurried part of the clients leaves would make the nodes look strained to all others.
+  double usual_step(const Query& q) {
+    const auto& v = of(q);
+    return std::max(v.slo + v.slo_stretch * q.work - margin, margin) / (v.two_steps ? 2 : 1);
+  }
   double last_end(const Query& q) { return q.expires - margin; }
 
   void wake(double now);
@@ -541,7 +547,7 @@
   node.open_at = now;
   ++node.groups[node.open_group];
   node.waiting.insert(now);
-  of(q).waiting.insert({now, step_time(q), node_index});
+  of(q).waiting.insert({now, usual_step(q), node_index});
   node.sent.add(now);
   if (leaf.calls.empty()) {
     firsts.add(now);
@@ -655,7 +661,7 @@
   const auto idle =
       std::count_if(nodes.begin(), nodes.end(), [](const Node& n) { return n.up; });  // one each is no load
   const auto usual = std::max({typical_out, parts, static_cast<double>(idle)});
-  const auto foretold = strain * std::max(1.0, (out(now) + parts) / usual);
+  const auto foretold = strain * std::max(1.0, (out(now) + parts) / usual) * usual_step(q) / step_time(q);
   const auto refused = std::clamp((foretold - kStrainFrom) / (kStrainFull - kStrainFrom), 0.0, kMostRefused);
   const auto share = std::max(std::min(refused * mean_density / std::max(density, 1e-9), kMostRefused),
                               1 - hope / kHopeless);
@@ -676,7 +682,7 @@
   const auto age = std::max(now - call.sent - standstill, 0.0);
   const auto took = std::max(age - excess(leaf), age / 4);
   if (const auto sent = node.waiting.find(call.sent); sent != node.waiting.end()) node.waiting.erase(sent);
-  if (const auto sent = v.waiting.find({call.sent, step_time(q), call.node}); sent != v.waiting.end())
+  if (const auto sent = v.waiting.find({call.sent, usual_step(q), call.node}); sent != v.waiting.end())
     v.waiting.erase(sent);
   if (const auto group = node.groups.find(call.group); group != node.groups.end() && --group->second <= 0)
     node.groups.erase(group);
@@ -691,7 +697,7 @@
   if (good || (bound && !node.suspect)) {
     v.latencies.add(now, {took, bound});
     if (node.zone != kNone) ways[static_cast<std::size_t>(node.zone)].latencies.add(now, {took, bound});
-    v.strain.add(now, {age / step_time(q), bound});
+    v.strain.add(now, {age / usual_step(q), bound});
   }
   if (good) {
     average.add(took);
