--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -402,9 +402,13 @@
   for (const auto& samples : by_way) all.insert(all.end(), samples.begin(), samples.end());
   median = quantile(all, 0.5);
   for (std::size_t i = 0; i < ways.size(); ++i) {
-    const auto known = median > 0 && static_cast<double>(by_way[i].size()) >= kStartWeight;
-    const auto factor = known ? quantile(by_way[i], 0.5) / median : 1;
-    ways[i].factor = factor > kWaySlow ? factor : 1;
+    auto& factor = ways[i].factor;
+    if (median > 0 && static_cast<double>(by_way[i].size()) >= kStartWeight) {
+      factor = quantile(by_way[i], 0.5) / median;
+      if (factor < kWaySlow) factor = 1;
+    } else {
+      factor = 1 + (factor - 1) * std::exp(-(now - ticked) / kDrift);  // avoided, it brings no news
+    }
   }
 }
 
