--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -27,7 +27,8 @@
 constexpr double kSmoothing = 0.2;       // weight of a new sample in a node's latency
 constexpr double kAverageWeight = 0.02;  // and in the average of all nodes
 constexpr double kDrift = 5;             // a silent node's latency nears the average with this time constant
-constexpr double kWaySlow = 1.5;         // times the median of all from which a zone counts as slow to reach
+constexpr double kQuick = 0.2;           // quantile of a zone's quick answers
+constexpr double kWaySlow = 0.5;         // average latencies by which these come later over a slow way
 constexpr int kProbation = 3;            // bad outcomes in a row after which a node is suspect
 constexpr double kSilence = 3;           // average latencies without any answer after which it is too
 constexpr double kFirstPause = 1;        // until a suspect node is tried again, if no probe comes back before
@@ -182,7 +183,7 @@
 // The nodes of one zone, as this router reaches them.
 struct Way {
   Window latencies{kStrainWindow};
-  double factor = 1;  // its median latency to that of all
+  double delay = 0;  // by which its quick answers come later than those of the nearest zone
 };
 
 struct Out {
@@ -281,7 +282,7 @@
   void estimate(double now);
   void compare_ways(double now);
   double usual(const Node& node) const {
-    return average * (node.zone == kNone ? 1 : ways[static_cast<std::size_t>(node.zone)].factor);
+    return average + (node.zone == kNone ? 0 : ways[static_cast<std::size_t>(node.zone)].delay);
   }
   double capacity(const Node& node, double now) const;
   double latency(const Node& node, double now) const;
@@ -401,14 +402,16 @@
           by_way[static_cast<std::size_t>(node.zone)].push_back({now - sent, true});
   for (const auto& samples : by_way) all.insert(all.end(), samples.begin(), samples.end());
   median = quantile(all, 0.5);
+  std::vector<double> quick(ways.size(), kNever);
+  for (std::size_t i = 0; i < ways.size(); ++i)
+    if (static_cast<double>(by_way[i].size()) >= kStartWeight) quick[i] = quantile(by_way[i], kQuick);
+  const auto nearest = quick.empty() ? 0 : *std::min_element(quick.begin(), quick.end());
   for (std::size_t i = 0; i < ways.size(); ++i) {
-    auto& factor = ways[i].factor;
-    if (median > 0 && static_cast<double>(by_way[i].size()) >= kStartWeight) {
-      factor = quantile(by_way[i], 0.5) / median;
-      if (factor < kWaySlow) factor = 1;
-    } else {
-      factor = 1 + (factor - 1) * std::exp(-(now - ticked) / kDrift);  // avoided, it brings no news
-    }
+    auto& delay = ways[i].delay;
+    if (quick[i] == kNever)
+      delay *= std::exp(-(now - ticked) / kDrift);  // avoided, it brings no news
+    else
+      delay = quick[i] - nearest > kWaySlow * average ? quick[i] - nearest : 0;
   }
 }
 
