--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -183,7 +183,8 @@
 // The nodes of one zone, as this router reaches them.
 struct Way {
   Window latencies{kStrainWindow};
-  double delay = 0;  // by which its quick answers come later than those of the nearest zone
+  bool heard = false;  // enough answers of late
+  double delay = 0;    // by which its quick answers come later than those of the nearest zone
 };
 
 struct Out {
@@ -402,16 +403,21 @@
           by_way[static_cast<std::size_t>(node.zone)].push_back({now - sent, true});
   for (const auto& samples : by_way) all.insert(all.end(), samples.begin(), samples.end());
   median = quantile(all, 0.5);
-  std::vector<double> quick(ways.size(), kNever);
-  for (std::size_t i = 0; i < ways.size(); ++i)
-    if (static_cast<double>(by_way[i].size()) >= kStartWeight) quick[i] = quantile(by_way[i], kQuick);
-  const auto nearest = quick.empty() ? 0 : *std::min_element(quick.begin(), quick.end());
+  std::vector<double> quick;
+  auto nearest = kNever;
+  for (auto& samples : by_way) {
+    const auto answers =
+        std::count_if(samples.begin(), samples.end(), [](const Sample& s) { return !s.censored; });
+    ways[quick.size()].heard = static_cast<double>(answers) >= kStartWeight;
+    quick.push_back(quantile(samples, kQuick));
+    if (answers > 0) nearest = std::min(nearest, quick.back());
+  }
   for (std::size_t i = 0; i < ways.size(); ++i) {
-    auto& delay = ways[i].delay;
-    if (quick[i] == kNever)
-      delay *= std::exp(-(now - ticked) / kDrift);  // avoided, it brings no news
-    else
-      delay = quick[i] - nearest > kWaySlow * average ? quick[i] - nearest : 0;
+    auto& way = ways[i];
+    const auto late = quick[i] - nearest;
+    // While it is avoided it brings no news but the age of what is out there.
+    way.delay *= way.heard ? 0 : std::exp(-(now - ticked) / kDrift);
+    if (late > kWaySlow * average) way.delay = std::max(way.delay, late);
   }
 }
 
