--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -22,7 +22,7 @@
 constexpr double kHedgeQuantile = 0.95;  // of the part latencies: the hedge delay
 constexpr double kStartShare = 0.25;     // of the SLO time: the hedge delay before anything is known
 constexpr double kStartWeight = 10;      // samples that the start value counts as
-constexpr double kLost = 4;              // times the p90 of answered parts after which one is lost, not slow
+constexpr double kLost = 2.5;            // times the p90 of answered parts after which one is lost, not slow
 constexpr double kCopyShare = 0.1;       // copies to parts sent, at most
 constexpr double kSmoothing = 0.2;       // weight of a new sample in a node's latency
 constexpr double kAverageWeight = 0.02;  // and in the average of all nodes
@@ -211,7 +211,8 @@
   double slo, slo_stretch, utility, late_utility, window, least, whole, partial_earns;
   Effect effect;
   bool two_steps;
-  double delay;  // the hedge delay
+  double delay;          // the hedge delay
+  double lost = kNever;  // the age from which an unanswered part is lost, not slow
   Window latencies{kWindow};
   std::multiset<Out> waiting;  // its parts that are out
   double try_time = 0;         // what clients leave a query, near the longest
@@ -376,8 +377,8 @@
     }
     // Answers that never come have no latency: with their age they would pull the delay up to the SLO time,
     // and no copy would go out in time for just the parts that need one.
-    const auto lost = lost_after(samples);
-    std::erase_if(samples, [&](const Sample& s) { return s.censored && s.value > lost; });
+    v.lost = lost_after(samples);
+    std::erase_if(samples, [&](const Sample& s) { return s.censored && s.value > v.lost; });
     for (const auto& sample : v.strain.recent(now)) samples_of_all.push_back(sample);
     needed += v.least * (static_cast<double>(samples_of_all.size()) - before);
     v.delay = (many * quantile(samples, kHedgeQuantile) + kStartWeight * kStartShare * v.slo) /
@@ -544,7 +545,7 @@
 bool Brain::State::lost(const Query& q, const Leaf& leaf, double now) {
   return may_cancel && std::all_of(leaf.calls.begin(), leaf.calls.end(), [&](const Call& call) {
            return !pending(call) || (at(call.node).suspect && at(call.node).answered < call.sent &&
-                                     now >= call.sent + of(q).delay + excess(leaf));
+                                     now >= call.sent + of(q).lost + excess(leaf));
          });
 }
 
