--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -28,7 +28,7 @@
 constexpr double kAverageWeight = 0.02;  // and in the average of all nodes
 constexpr double kDrift = 5;             // a silent node's latency nears the average with this time constant
 constexpr double kQuick = 0.2;           // quantile of a zone's quick answers
-constexpr double kWaySlow = 0.5;         // average latencies by which these come later over a slow way
+constexpr double kWaySlow = 1.0;         // average latencies by which these come later over a slow way
 constexpr int kProbation = 3;            // bad outcomes in a row after which a node is suspect
 constexpr double kSilence = 3;           // average latencies without any answer after which it is too
 constexpr double kFirstPause = 1;        // until a suspect node is tried again, if no probe comes back before
@@ -397,28 +397,32 @@
   std::vector<Sample> all;
   std::vector<std::vector<Sample>> by_way;
   for (auto& way : ways) by_way.push_back(way.latencies.recent(now));
-  for (const auto& node : nodes)
-    if (node.zone != kNone)
-      for (const auto sent : node.waiting)
-        if (now - sent <= kStrainWindow)
-          by_way[static_cast<std::size_t>(node.zone)].push_back({now - sent, true});
+  std::vector<std::ptrdiff_t> answers;
+  for (const auto& samples : by_way)
+    answers.push_back(
+        std::count_if(samples.begin(), samples.end(), [](const Sample& s) { return !s.censored; }));
+  for (const auto& node : nodes) {
+    if (node.zone == kNone) continue;
+    const auto way = static_cast<std::size_t>(node.zone);
+    if (node.suspect && answers[way] > 0) continue;  // others there do answer: it is the node, not the way
+    for (const auto sent : node.waiting)
+      if (now - sent <= kStrainWindow) by_way[way].push_back({now - sent, true});
+  }
   for (const auto& samples : by_way) all.insert(all.end(), samples.begin(), samples.end());
   median = quantile(all, 0.5);
   std::vector<double> quick;
   auto nearest = kNever;
-  for (auto& samples : by_way) {
-    const auto answers =
-        std::count_if(samples.begin(), samples.end(), [](const Sample& s) { return !s.censored; });
-    ways[quick.size()].heard = static_cast<double>(answers) >= kStartWeight;
-    quick.push_back(quantile(samples, kQuick));
-    if (answers > 0) nearest = std::min(nearest, quick.back());
+  for (std::size_t i = 0; i < ways.size(); ++i) {
+    ways[i].heard = static_cast<double>(answers[i]) >= kStartWeight;
+    quick.push_back(quantile(by_way[i], kQuick));
+    if (answers[i] > 0) nearest = std::min(nearest, quick.back());
   }
   for (std::size_t i = 0; i < ways.size(); ++i) {
     auto& way = ways[i];
     const auto late = quick[i] - nearest;
     // While it is avoided it brings no news but the age of what is out there.
     way.delay *= way.heard ? 0 : std::exp(-(now - ticked) / kDrift);
-    if (late > kWaySlow * average) way.delay = std::max(way.delay, late);
+    if (late > kWaySlow * std::max<double>(average, median)) way.delay = std::max(way.delay, late);
   }
 }
 
