--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -728,7 +728,10 @@
   // A quick failure counts as the time it costs, not the time it took: else the node would look fast and draw
   // all traffic. A cancelled or overdue call took at least its age.
   const auto value = good ? took : bound ? std::max(took, held) : std::max(v.slo, held);
-  node.latency = held > 0 ? held + kSmoothing * (value - held) : value;
+  // What has drifted away is no evidence: the longer the silence before it, the more a new sample weighs.
+  // Where a node is heard of every several seconds it would else look average whatever it does.
+  const auto weight = 1 - (1 - kSmoothing) * std::exp(-(now - node.heard) / kDrift);
+  node.latency = held > 0 ? held + weight * (value - held) : value;
   node.heard = now;
   if (!good) watch(node, now);
 }
