--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -31,7 +31,7 @@
 constexpr double kWaySlow = 1.0;         // average latencies by which these come later over a slow way
 constexpr int kProbation = 3;            // bad outcomes in a row after which a node is suspect
 constexpr double kSilence = 3;           // average latencies without any answer after which it is too
-constexpr double kFirstPause = 1;        // until a suspect node is tried again, if no probe comes back before
+constexpr double kFirstPause = 1;        // until a suspect node is tried again
 constexpr double kLongestPause = 16;
 constexpr double kShunned = 10;           // on the score of a suspect node that has a part already
 constexpr double kStrainWindow = 2.5;     // refusals look back so far
@@ -169,7 +169,6 @@
   bool suspect = false;
   double pause = 0;     // between its trials
   double trial_at = 0;  // the next one
-  double probe_at = 0;  // the next probe while it is suspect
   int row_seen = 0;
   int bad_row = 0;                // bad outcomes since the last success
   std::map<int, int> groups;      // calls that wait there, by group, with their parts
@@ -241,7 +240,7 @@
   std::vector<Way> ways;
   std::vector<std::vector<int>> by_cell;
   int zone, max_calls, parts_a_call, cells, span;
-  bool may_copy, may_cancel, may_probe, must_ask_list, utility_by_work;
+  bool may_copy, may_cancel, must_ask_list, utility_by_work;
   double margin, stay_away, over_share;
   double cold_time, cold_start, cold_rate, fall_time;
   double extra_span, extra_free, extra_share;
@@ -318,7 +317,6 @@
       span(std::min(s.span, s.cells)),
       may_copy(s.may_copy),
       may_cancel(s.may_cancel),
-      may_probe(s.may_probe),
       must_ask_list(s.must_ask_list),
       utility_by_work(s.utility_by_work),
       margin(kMargin + 2 * s.tick),
@@ -445,8 +443,7 @@
   return node.open_at == now && open != node.groups.end() && open->second < parts_a_call;
 }
 
-// A node under suspicion. Before it is tried with a part again a probe must have come back, and then it gets
-// one part.
+// A node under suspicion. It gets one part at a time, after a pause.
 bool Brain::State::shunned(const Node& node, double now) const {
   return node.suspect && (!node.waiting.empty() || now < node.trial_at);
 }
@@ -467,7 +464,6 @@
     node.pause = node.suspect ? std::min(2 * node.pause, kLongestPause) : kFirstPause;
     node.suspect = true;
     node.trial_at = now + node.pause;
-    node.probe_at = now;
   }
   node.row_seen = node.bad_row;
 }
@@ -841,29 +837,17 @@
   s_->ask_after = now + kListAgain;
 }
 
-void Brain::probed(int index, Outcome outcome, double now) {
-  auto& node = s_->at(index);
-  if (outcome == Outcome::success && node.suspect) node.trial_at = std::min(node.trial_at, now);
-}
-
-Chores Brain::tick(double now) {
+bool Brain::tick(double now) {
   auto& s = *s_;
   s.wake(now);
-  if (s.standstill > 0) return {};
+  if (s.standstill > 0) return false;
   s.estimate(now);
   s.compare_ways(now);
   s.ticked = now;
-  Chores chores;
-  for (std::size_t i = 0; i < s.nodes.size(); ++i) {
-    auto& node = s.nodes[i];
-    s.watch(node, now);
-    if (!s.may_probe || !node.up || !node.suspect || now < node.probe_at || now >= node.trial_at) continue;
-    chores.probes.push_back(static_cast<int>(i));
-    node.probe_at = now + kFirstPause;
-  }
-  chores.ask_list = s.must_ask_list && now >= s.ask_after;
-  if (chores.ask_list) s.ask_after = now + kListPatience;
-  return chores;
+  for (auto& node : s.nodes) s.watch(node, now);
+  const auto ask = s.must_ask_list && now >= s.ask_after;
+  if (ask) s.ask_after = now + kListPatience;
+  return ask;
 }
 
 double Brain::period() const {
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -39,7 +39,6 @@
   int max_calls = 1;
   bool may_copy = false;
   bool may_cancel = false;
-  bool may_probe = false;
   bool must_ask_list = false;
   double max_stay_away = 0;
   double over_share = 1;  // utility of what goes over a customer's share
@@ -129,11 +128,6 @@
   double stay_away = 0;
 };
 
-struct Chores {
-  std::vector<int> probes;
-  bool ask_list = false;
-};
-
 class Brain {
  public:
   Brain(const Settings& settings, std::uint64_t seed, double now);
@@ -149,8 +143,7 @@
   void take(int requests, double now);  // so many queries and parts came in
   void list(std::span<const Host> hosts, bool complete);
   void list_failed(double now);
-  void probed(int node, Outcome outcome, double now);
-  Chores tick(double now);
+  bool tick(double now);  // whether the list must be asked for
   double period() const;
 
  private:
--- a/src/wire/host.cpp
+++ b/src/wire/host.cpp
@@ -81,9 +81,7 @@
       instance->on_gone(fields);
     } else if (what == "reminder") {
       instance->on_reminder(fields.word("nonce"), now_);
-    } else if (what == "sampled") {
-      instance->on_sampled(fields, now_);
-    } else if (what != "started" && what != "message") {
+    } else if (what != "started" && what != "message" && what != "sampled") {
       throw Malformed("message '" + std::string(what) + "' is unknown");
     }
   } catch (const Malformed&) {
--- a/src/wire/instance.cpp
+++ b/src/wire/instance.cpp
@@ -140,20 +140,12 @@
 void Instance::on_reminder(std::string_view token, double now) {
   if (token == "tick") {
     tick_set_ = false;
-    const auto chores = brain_.tick(now);
-    for (const auto probed : chores.probes) say("check", node_ids_[static_cast<std::size_t>(probed)]);
-    if (chores.ask_list) say("keep_informed", 1);
+    if (brain_.tick(now)) say("keep_informed", 1);
   } else if (token == "due") {
     if (wake_at_ >= 0 && now >= wake_at_ - 1e-6) wake_at_ = -1;
   }
 }
 
-void Instance::on_sampled(Fields& fields, double now) {
-  const auto at = nodes_.find(fields.integer("node"));
-  const auto verdict = outcome(fields.word("verdict"));
-  if (at != nodes_.end()) brain_.probed(at->second, verdict, now);
-}
-
 void Instance::touch(Held& held) {
   if (held.touched) return;
   held.touched = true;
--- a/src/wire/instance.hpp
+++ b/src/wire/instance.hpp
@@ -33,7 +33,6 @@
   void on_response(Fields& fields, double now);
   void on_gone(Fields& fields);
   void on_reminder(std::string_view token, double now);
-  void on_sampled(Fields& fields, double now);
   void finish(double now, std::string& reply);  // answers all that the batch has touched
 
  private:
