--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -521,7 +521,7 @@
     for (int j = 0; j < span; ++j) {
       for (const auto i : by_cell[static_cast<std::size_t>((leaf.shard + j) % cells)]) {
         auto& node = at(i);
-        if (tried(i) != again || !allowed(q, leaf, node, now)) continue;
+        if (tried(i) != again || shunned(node, now) || !allowed(q, leaf, node, now)) continue;
         const auto value = score(node, now) * (node.zone == zone ? 1 : 1 + kZoneTie) *
                            (1 + 1e-6 * static_cast<double>(chance() % 1000));
         if (value < best) {
