--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -33,7 +33,6 @@
 constexpr double kSilence = 3;           // average latencies without any answer after which it is too
 constexpr double kFirstPause = 1;        // until a suspect node is tried again
 constexpr double kLongestPause = 16;
-constexpr double kShunned = 10;           // on the score of a suspect node that has a part already
 constexpr double kStrainWindow = 2.5;     // refusals look back so far
 constexpr double kStrainQuantile = 0.75;  // of part latencies, where all parts are needed
 constexpr double kStrainFrom = 0.65;  // part latency to the time a step has above which queries are refused
@@ -303,6 +302,7 @@
   Answer give_up(const Query& q);
   void date(Query& q, double now);
   double prospect(const Query& q, double now);
+  bool within_reach(const Query& q, double now);
   bool refuse(const Query& q, double now);
   double excess(const Leaf& leaf) const;
   void learn(const Query& q, const Leaf& leaf, const Call& call, double now);
@@ -443,7 +443,8 @@
   return node.open_at == now && open != node.groups.end() && open->second < parts_a_call;
 }
 
-// A node under suspicion. It gets one part at a time, after a pause.
+// A node under suspicion gets one part at a time, after a pause. All routers' parts that had nowhere better
+// to go would else keep a node full that could clear its queue; meanwhile the part waits here.
 bool Brain::State::shunned(const Node& node, double now) const {
   return node.suspect && (!node.waiting.empty() || now < node.trial_at);
 }
@@ -469,8 +470,7 @@
 }
 
 double Brain::State::score(const Node& node, double now) {
-  return (shunned(node, now) ? kShunned : 1) * latency(node, now) *
-         (static_cast<double>(node.groups.size()) + (joins(node, now) ? kJoinCost : 1));
+  return latency(node, now) * (static_cast<double>(node.groups.size()) + (joins(node, now) ? kJoinCost : 1));
 }
 
 // The one guard that every send passes.
@@ -636,6 +636,19 @@
   return (many * (in_time + v.late_utility * late) + kHopeWeight) / (many + kHopeWeight);
 }
 
+// Whether enough of its parts have a replica that is not shunned. The others would do work for nothing.
+bool Brain::State::within_reach(const Query& q, double now) {
+  double reach = 0;
+  for (const auto& leaf : q.leaves) {
+    auto any = false;
+    for (int j = 0; j < span && !any; ++j)
+      for (const auto i : by_cell[static_cast<std::size_t>((leaf.shard + j) % cells)])
+        any = any || (at(i).up && !shunned(at(i), now));
+    if (any) reach += leaf.weight;
+  }
+  return reach >= of(q).least - kRounding;
+}
+
 // A query that has waited while the router stood still was asked earlier, by what its client leaves it less
 // than usual.
 void Brain::State::date(Query& q, double now) {
@@ -665,7 +678,7 @@
   }
   // A query with hardly a chance in the time it has (an impatient client, nodes that have become slow) sinks
   // work for nothing, and its client asks again: a few such clients can bring all nodes down.
-  const auto hope = prospect(q, now);
+  const auto hope = within_reach(q, now) ? prospect(q, now) : 0;
   density *= hope;
   mean_density.add(density);
   // By Little's law latency grows with what is out. The parts already out foretell the latency of this query
