--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -174,8 +174,7 @@
   std::multiset<double> waiting;  // when the parts that wait there were sent
   int open_group = kNone;         // the call that parts sent at open_at may join
   double open_at = -1;
-  Tally sent;                // parts, over the time in which a cold node may be pushed over
-  Tally completed{kWindow};  // parts answered
+  Tally sent;  // parts, over the time in which a cold node may be pushed over
 };
 
 // The nodes of one zone, as this router reaches them.
@@ -238,7 +237,7 @@
   std::vector<Node> nodes;
   std::vector<Way> ways;
   std::vector<std::vector<int>> by_cell;
-  int zone, max_calls, parts_a_call, cells, span;
+  int zone, routers, max_calls, parts_a_call, cells, span;
   bool may_copy, may_cancel, must_ask_list, utility_by_work;
   double margin, stay_away, over_share;
   double cold_time, cold_start, cold_rate, fall_time;
@@ -249,6 +248,9 @@
   double median = 0;   // that of the last moments, with what is out
   int next_group = 0;
   Tally firsts{kWindow}, copies{kWindow};
+  Tally answered{kWindow};  // parts
+  double up_nodes = 0;
+  double node_rate = 0;    // parts a second that a node answers this router, on average
   Tally taken, extras;     // over the span of the budget
   double strain = 0;       // part latency to the time that a step has
   double typical_out = 0;  // parts out while that was measured
@@ -311,6 +313,7 @@
 Brain::State::State(const Settings& s, std::uint64_t seed, double now)
     : by_cell(static_cast<std::size_t>(s.cells)),
       zone(s.zone),
+      routers(std::max(s.routers, 1)),
       max_calls(s.max_calls),
       parts_a_call(s.parts_a_call),
       cells(s.cells),
@@ -480,16 +483,11 @@
   if (!leaf.calls.empty() && !resendable(q, leaf, now)) return false;  // rule 2
   if (!node.up) return false;                                          // rule 3
   if (cold(node, now)) {                                               // rule 4
-    double carried = 0;
-    double warm = 0;
-    for (auto& other : nodes) {
-      if (!other.up || cold(other, now)) continue;
-      carried += other.completed.recent(now) / kWindow;
-      ++warm;
-    }
-    // What an average warm node answers this router stands for this router's share of a node's capacity.
-    const auto most = warm > 0 ? carried / warm * capacity(node, now) * cold_rate * fall_time : 0;
-    if (node.sent.recent(now) + 1 > std::max(1.0, most)) return false;
+    // What a node answers this router on average stands for this router's share of a node's capacity. Where
+    // that is less than a part a window the parts are spaced out: one a window from each of many routers is
+    // too much.
+    const auto most = std::max(node_rate * capacity(node, now) * cold_rate * fall_time, 1.0 / routers);
+    if (most < 1 ? now - node.open_at < fall_time / most : node.sent.recent(now) + 1 > most) return false;
   }
   if (!leaf.calls.empty() && extra_span > 0) {  // rule 6
     const auto most = extra_free + extra_share * taken.recent(now);
@@ -685,9 +683,8 @@
   // better than answers do, which tell of queries sent before a burst: without this all routers let a burst
   // in.
   const auto parts = static_cast<double>(q.leaves.size());
-  const auto idle =
-      std::count_if(nodes.begin(), nodes.end(), [](const Node& n) { return n.up; });  // one each is no load
-  const auto usual = std::max({typical_out, parts, static_cast<double>(idle)});
+  // A part for each node is no load.
+  const auto usual = std::max({typical_out, parts, up_nodes});
   const auto foretold = strain * std::max(1.0, (out(now) + parts) / usual) * usual_step(q) / step_time(q);
   const auto refused = std::clamp((foretold - kStrainFrom) / (kStrainFull - kStrainFrom), 0.0, kMostRefused);
   const auto share = std::max(std::min(refused * mean_density / std::max(density, 1e-9), kMostRefused),
@@ -728,7 +725,7 @@
   }
   if (good) {
     average.add(took);
-    node.completed.add(now);
+    answered.add(now);
     node.bad_row = 0;
   } else {
     ++node.bad_row;
@@ -857,7 +854,12 @@
   s.estimate(now);
   s.compare_ways(now);
   s.ticked = now;
-  for (auto& node : s.nodes) s.watch(node, now);
+  s.up_nodes = 0;
+  for (auto& node : s.nodes) {
+    s.watch(node, now);
+    if (node.up) ++s.up_nodes;
+  }
+  s.node_rate = s.up_nodes > 0 ? s.answered.recent(now) / kWindow / s.up_nodes : 0;
   const auto ask = s.must_ask_list && now >= s.ask_after;
   if (ask) s.ask_after = now + kListPatience;
   return ask;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -208,6 +208,25 @@
   CHECK(rig.serve(200, 0.05)[0] > 30);
 }
 
+TEST_CASE("rule 4: many routers that know little space their parts to a cold node out") {
+  for (const int routers : {1, 40}) {
+    auto s = settings();
+    s.routers = routers;
+    Rig rig(s, 1);
+    rig.hosts[0].born = rig.now;
+    rig.brain.list(rig.hosts, true);
+    int sent = 0;
+    for (int i = 0; i < 9; ++i) {
+      auto q = rig.query(0, 1);
+      const auto sends = rig.route(q).sends.size();
+      sent += static_cast<int>(sends);
+      rig.pass(1.1);
+      if (sends > 0) rig.settle(q, 0, Outcome::success);
+    }
+    CHECK(sent == (routers == 1 ? 9 : 1));
+  }
+}
+
 TEST_CASE("rule 5: merged whole only if whole, in part only from the least share") {
   struct Row {
     int in;
