--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -1,4 +1,6 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <algorithm>
+
 #include "support.hpp"
 
 using namespace yoketurn;
@@ -113,6 +115,158 @@
   CHECK(swallowed.size() <= 4);
 }
 
+TEST_CASE("lost answers do not put the copy off") {
+  Rig rig(settings(), 60);
+  std::vector<Query> swallowed;
+  for (int i = 0; i < 100; ++i) {  // a tenth of the answers never come
+    auto q = rig.query(0, 1);
+    rig.route(q);
+    rig.pass(0.1);
+    if (i % 10 == 0)
+      swallowed.push_back(q);
+    else
+      rig.settle(q, 0, Outcome::success);
+  }
+  auto q = rig.query(0, 1);
+  rig.route(q);
+  rig.pass(0.4);
+  CHECK(rig.route(q).sends.size() == 1);
+}
+
+TEST_CASE("a swallowed part given up does not clear its node, an answer does") {
+  for (const bool answered : {false, true}) {
+    Rig rig;
+    rig.serve(30, 0.1);
+    std::vector<Query> queries(3, rig.query(2, 1));
+    for (auto& q : queries) rig.route(q);
+    auto& held = queries[0];
+    const auto node = held.leaves[0].calls[0].node;
+    for (std::size_t i = 1; i < queries.size(); ++i) rig.settle(queries[i], 0, Outcome::success);
+    rig.pass(0.5);  // now it is suspect
+    rig.settle(held, 0, answered ? Outcome::success : Outcome::timed_out);
+    rig.pass(0.2);
+    auto q = rig.query(0, 12);
+    rig.route(q);
+    const auto sent = std::count_if(q.leaves.begin(), q.leaves.end(),
+                                    [&](const Leaf& leaf) { return leaf.calls.at(0).node == node; });
+    CHECK((sent > 0) == answered);
+  }
+}
+
+TEST_CASE("a part that is lost at a silent node is given up and sent again, once the copies are used up") {
+  for (const int vertical : {0, 2}) {
+    Rig rig;
+    rig.serve(30, 0.1, vertical);
+    auto q = rig.query(vertical, 24);
+    rig.route(q);
+    const auto silent = q.leaves[0].calls[0].node;
+    rig.pass(0.1);
+    for (int i = 0; i < 24; ++i)
+      if (q.leaves[static_cast<std::size_t>(i)].calls[0].node != silent) rig.settle(q, i, Outcome::success);
+    std::size_t cancels = 0;
+    std::size_t sends = 0;
+    for (int i = 0; i < 7; ++i) {
+      rig.pass(0.1);
+      const auto answer = rig.route(q);
+      cancels += answer.cancels.size();
+      sends += answer.sends.size();
+      for (const auto& send : answer.sends) rig.settle(q, send.leaf, Outcome::success);
+    }
+    CHECK((cancels > 0) == (vertical == 0));
+    CHECK((sends > 1) == (vertical == 0));
+  }
+}
+
+TEST_CASE("a slow way is told from slow nodes and remembered while it is avoided") {
+  auto s = settings();
+  for (auto& vertical : s.verticals) vertical.slo = 5;
+  Rig rig(s, 12);
+  for (auto& host : rig.hosts) host.zone = host.node / 3 % 2;
+  rig.brain.list(rig.hosts, true);
+  const auto far = [&](const Query& q) {
+    return std::count_if(q.leaves.begin(), q.leaves.end(), [&](const Leaf& leaf) {
+      return !leaf.calls.empty() && rig.hosts[static_cast<std::size_t>(leaf.calls[0].node)].zone == 1;
+    });
+  };
+  auto first = rig.query(2, 12, 10);
+  rig.route(first);
+  CHECK(far(first) > 0);
+  rig.pass(0.1);
+  const auto settle = [&](bool all) {
+    for (int i = 0; i < 12; ++i) {
+      const auto& call = first.leaves[static_cast<std::size_t>(i)].calls.at(0);
+      if (call.outcome == Outcome::pending &&
+          (all || rig.hosts[static_cast<std::size_t>(call.node)].zone == 0))
+        rig.settle(first, i, Outcome::success);
+    }
+  };
+  settle(false);
+  rig.pass(0.8);
+  settle(true);
+  rig.pass(0.1);
+  auto q = rig.query(0, 6, 10);
+  rig.route(q);
+  CHECK(far(q) == 0);
+  for (int i = 0; i < 6; ++i) rig.settle(q, i, Outcome::success);
+  rig.pass(3);
+  q = rig.query(0, 6, 10);
+  rig.route(q);
+  CHECK(far(q) == 0);
+}
+
+TEST_CASE("what hurried clients leave is no strain for the patient") {
+  Rig rig(settings(), 60);
+  for (int i = 0; i < 60; ++i) {
+    auto q = rig.query(0, 1, 0.3);
+    rig.route(q);
+    if (q.ended) continue;
+    rig.pass(0.26);
+    rig.settle(q, 0, Outcome::timed_out);
+  }
+  int refused = 0;
+  for (int i = 0; i < 20; ++i) {
+    auto q = rig.query(1, 1);
+    refused += rig.route(q).end == End::reject;
+  }
+  CHECK(refused == 0);
+}
+
+TEST_CASE("with all replicas under suspicion parts wait, and new queries are refused until a trial is due") {
+  Rig rig(settings(), 3);
+  rig.serve(30, 0.1);
+  auto held = rig.query(0, 1);
+  rig.route(held);
+  for (int i = 0; i < 5; ++i) {
+    auto q = rig.query(0, 6);
+    rig.route(q);
+    for (std::size_t j = 0; j < q.leaves.size(); ++j)
+      if (!q.leaves[j].calls.empty()) rig.settle(q, static_cast<int>(j), Outcome::overloaded);
+  }
+  rig.settle(held, 0, Outcome::overloaded);
+  CHECK(rig.route(held).sends.empty());
+  CHECK(!held.ended);
+  auto q = rig.query(0, 1);
+  CHECK(rig.route(q).end == End::reject);
+  rig.pass(1.2);
+  CHECK(rig.route(held).sends.size() == 1);
+}
+
+TEST_CASE("a fleet of hundreds and a list of hundreds of changes") {
+  auto s = settings();
+  s.cells = 600;
+  s.routers = 900;
+  Rig rig(s, 600);
+  for (int round = 0; round < 20; ++round) {
+    auto q = rig.query(0, 300);
+    CHECK(rig.route(q).sends.size() == 300);
+    rig.pass(0.1);
+    for (int i = 0; i < 300; ++i) rig.settle(q, i, Outcome::success);
+    CHECK(rig.route(q).end == End::merge_whole);
+    for (auto& host : rig.hosts) host.up = (host.node + round) % 3 != 0;
+    rig.brain.list(rig.hosts, false);
+  }
+}
+
 TEST_CASE("a suspect node is tried again rarely") {
   Rig rig;
   rig.serve(30, 0.1);
