--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -376,10 +376,7 @@
       samples.push_back({now - sent, true});
       if (now - sent <= kStrainWindow) samples_of_all.push_back({(now - sent) / time, true});
     }
-    // Answers that never come have no latency: with their age they would pull the delay up to the SLO time,
-    // and no copy would go out in time for just the parts that need one.
     v.lost = lost_after(samples);
-    std::erase_if(samples, [&](const Sample& s) { return s.censored && s.value > v.lost; });
     for (const auto& sample : v.strain.recent(now)) samples_of_all.push_back(sample);
     needed += v.least * (static_cast<double>(samples_of_all.size()) - before);
     v.delay = (many * quantile(samples, kHedgeQuantile) + kStartWeight * kStartShare * v.slo) /
