--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -33,6 +33,7 @@
 constexpr double kSilence = 3;           // average latencies without any answer after which it is too
 constexpr double kFirstPause = 1;        // until a suspect node is tried again
 constexpr double kLongestPause = 16;
+constexpr double kShunned = 10;           // on the score of a suspect node that has a part already
 constexpr double kStrainWindow = 2.5;     // refusals look back so far
 constexpr double kStrainQuantile = 0.75;  // of part latencies, where all parts are needed
 constexpr double kStrainFrom = 0.65;  // part latency to the time a step has above which queries are refused
@@ -443,8 +444,7 @@
   return node.open_at == now && open != node.groups.end() && open->second < parts_a_call;
 }
 
-// A node under suspicion gets one part at a time, after a pause. All routers' parts that had nowhere better
-// to go would else keep a node full that could clear its queue; meanwhile the part waits here.
+// A node under suspicion gets one part at a time, after a pause, unless there is nowhere better to go.
 bool Brain::State::shunned(const Node& node, double now) const {
   return node.suspect && (!node.waiting.empty() || now < node.trial_at);
 }
@@ -470,7 +470,8 @@
 }
 
 double Brain::State::score(const Node& node, double now) {
-  return latency(node, now) * (static_cast<double>(node.groups.size()) + (joins(node, now) ? kJoinCost : 1));
+  return (shunned(node, now) ? kShunned : 1) * latency(node, now) *
+         (static_cast<double>(node.groups.size()) + (joins(node, now) ? kJoinCost : 1));
 }
 
 // The one guard that every send passes.
@@ -516,7 +517,7 @@
     for (int j = 0; j < span; ++j) {
       for (const auto i : by_cell[static_cast<std::size_t>((leaf.shard + j) % cells)]) {
         auto& node = at(i);
-        if (tried(i) != again || shunned(node, now) || !allowed(q, leaf, node, now)) continue;
+        if (tried(i) != again || !allowed(q, leaf, node, now)) continue;
         const auto value = score(node, now) * (node.zone == zone ? 1 : 1 + kZoneTie) *
                            (1 + 1e-6 * static_cast<double>(chance() % 1000));
         if (value < best) {
