--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -518,6 +518,8 @@
       for (const auto i : by_cell[static_cast<std::size_t>((leaf.shard + j) % cells)]) {
         auto& node = at(i);
         if (tried(i) != again || !allowed(q, leaf, node, now)) continue;
+        // A further call at a node under suspicion would most likely be spent in vain and keep it full.
+        if (!leaf.calls.empty() && shunned(node, now)) continue;
         const auto value = score(node, now) * (node.zone == zone ? 1 : 1 + kZoneTie) *
                            (1 + 1e-6 * static_cast<double>(chance() % 1000));
         if (value < best) {
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -228,17 +228,22 @@
   CHECK(refused == 0);
 }
 
-TEST_CASE("with all replicas of a part under suspicion queries are refused until a trial is due") {
+TEST_CASE(
+    "with all replicas under suspicion new queries are refused and failed parts wait until a trial is due") {
   Rig rig;
   rig.serve(30, 0.1);
+  auto held = rig.query(0, 1, 20);
+  rig.route(held);
   for (int i = 0; i < 5; ++i) {
     auto q = rig.query(0, 6);
     rig.route(q);
     for (std::size_t j = 0; j < q.leaves.size(); ++j)
       if (!q.leaves[j].calls.empty()) rig.settle(q, static_cast<int>(j), Outcome::overloaded);
   }
+  rig.settle(held, 0, Outcome::overloaded);
   for (const bool due : {false, true}) {
     if (due) rig.pass(3);
+    CHECK(rig.route(held).sends.size() == (due ? 1 : 0));
     auto q = rig.query(2, 1);
     CHECK(rig.route(q).sends.size() == (due ? 1 : 0));
     CHECK(q.ended == !due);
