--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -391,7 +391,8 @@
 
 // A way between zones that has become slow is one cause behind many nodes. A router with a part a node now
 // and then would learn it anew of each and forget it in between, so nodes not heard of late take the latency
-// of their way.
+// of their way. Load leaves the quickest answers quick, a slow way does not: by them the two are told apart.
+// Hurts where all nodes of a zone queue alike: it is then avoided as if it were far.
 void Brain::State::compare_ways(double now) {
   std::vector<Sample> all;
   std::vector<std::vector<Sample>> by_way;
@@ -537,11 +538,11 @@
          now >= leaf.calls[0].sent + of(q).delay + excess(leaf) - 1e-6 && now < slo_end(q);
 }
 
-// A part is given up and sent again where each call that is out has outlived the hedge delay at a node that
-// is suspect and has answered nothing since. Without this a query whose copies are used up waits in vain for
-// its last part.
+// A part is given up and sent again where each call that is out is too old to be slow, at a node that is
+// suspect and has answered nothing since. Without this a query whose copies are used up waits in vain for its
+// last part; by age alone heavy parts would be sent again. The cancelled call may still be out for a moment.
 bool Brain::State::lost(const Query& q, const Leaf& leaf, double now) {
-  return may_cancel && std::all_of(leaf.calls.begin(), leaf.calls.end(), [&](const Call& call) {
+  return may_cancel && may_copy && std::all_of(leaf.calls.begin(), leaf.calls.end(), [&](const Call& call) {
            return !pending(call) || (at(call.node).suspect && at(call.node).answered < call.sent &&
                                      now >= call.sent + of(q).lost + excess(leaf));
          });
