Fold the repeated walk over holders, cancels and copy time into one each; no behaviour changed

Way::heard was derivable and goes; two comments and a parameter say what they mean now; an outcome is no longer asked twice.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -103,6 +103,11 @@
   return call.outcome == Outcome::pending;
 }
 
+void cancel_pending(Answer& answer, const Leaf& leaf, int index) {
+  for (std::size_t i = 0; i < leaf.calls.size(); ++i)
+    if (pending(leaf.calls[i])) answer.cancels.push_back({index, static_cast<int>(i)});
+}
+
 // Counts events in a sliding window.
 class Tally {
  public:
@@ -181,13 +186,13 @@
 // The nodes of one zone, as this router reaches them.
 struct Way {
   Window latencies{kStrainWindow};
-  bool heard = false;  // enough answers of late
-  double delay = 0;    // by which its quick answers come later than those of the nearest zone
+  double delay = 0;  // by which its quick answers come later than those of the nearest zone
 };
 
+// A part that is out.
 struct Out {
   double sent;
-  double time;  // that its query has for the step
+  double time;  // usual_step of its query
   int node;
   auto operator<=>(const Out&) const = default;
 };
@@ -216,7 +221,7 @@
   double try_time = 0;         // what clients leave a query, near the longest
   Smoothed query_work;
   Window query_times{kWindow};
-  Window strain{kStrainWindow};  // part latencies to the time that the step had
+  Window strain{kStrainWindow};  // part latencies to usual_step
 };
 
 // A node's smoothed latency, which nears the usual one while it is silent.
@@ -293,10 +298,11 @@
   bool shunned(const Node& node, double now) const;
   void watch(Node& node, double now);
   double score(const Node& node, double now);
-  int choose(const Query& q, const Leaf& leaf, bool copy, double now, double& best);
+  int choose(const Query& q, const Leaf& leaf, bool beside, double now, double& best);
   bool cold(const Node& node, double now) const { return node.born > 0 && now < node.born + cold_time; }
   bool allowed(const Query& q, const Leaf& leaf, Node& node, double now);
   bool resendable(const Query& q, const Leaf& leaf, double now);
+  double copy_at(const Query& q, const Leaf& leaf) { return leaf.calls[0].sent + of(q).delay + excess(leaf); }
   bool copy_due(const Query& q, const Leaf& leaf, double now);
   bool lost(const Query& q, const Leaf& leaf, double now);
   Send commit(const Query& q, int leaf, int node, bool copy, double now);
@@ -306,6 +312,14 @@
   void date(Query& q, double now);
   double prospect(const Query& q, double now);
   bool within_reach(const Query& q, double now);
+  // Whether the test holds for a node that holds the part's shard; it is put to each until it does.
+  template <class Test>
+  bool any_holder(const Leaf& leaf, Test test) const {
+    for (int j = 0; j < span; ++j)
+      for (const auto i : by_cell[static_cast<std::size_t>((leaf.shard + j) % cells)])
+        if (test(i)) return true;
+    return false;
+  }
   bool refuse(const Query& q, double now);
   double excess(const Leaf& leaf) const;
   void learn(const Query& q, const Leaf& leaf, const Call& call, double now);
@@ -413,7 +427,6 @@
   std::vector<double> quick;
   auto nearest = kNever;
   for (std::size_t i = 0; i < ways.size(); ++i) {
-    ways[i].heard = static_cast<double>(answers[i]) >= kStartWeight;
     quick.push_back(quantile(by_way[i], kQuick));
     if (answers[i] > 0) nearest = std::min(nearest, quick.back());
   }
@@ -421,7 +434,7 @@
     auto& way = ways[i];
     const auto late = quick[i] - nearest;
     // While it is avoided it brings no news but the age of what is out there.
-    way.delay *= way.heard ? 0 : std::exp(-(now - ticked) / kDrift);
+    way.delay *= static_cast<double>(answers[i]) >= kStartWeight ? 0 : std::exp(-(now - ticked) / kDrift);
     if (late > kWaySlow * std::max<double>(average, median)) way.delay = std::max(way.delay, late);
   }
 }
@@ -504,38 +517,37 @@
   return v.effect == Effect::deduplicated && now < first->sent + v.window - margin;
 }
 
-int Brain::State::choose(const Query& q, const Leaf& leaf, bool copy, double now, double& best) {
+int Brain::State::choose(const Query& q, const Leaf& leaf, bool beside, double now, double& best) {
   int chosen = kNone;
   best = kNever;
   const auto tried = [&](int node) {
     return std::any_of(leaf.calls.begin(), leaf.calls.end(), [&](const Call& c) { return c.node == node; });
   };
   for (const bool again : {false, true}) {
-    if (again && (copy || chosen != kNone)) break;
+    if (again && (beside || chosen != kNone)) break;
     // All calls of a part could else be spent within a few ms at the one node that is left and turns them
     // away.
     if (again && (leaf.calls.empty() || now < leaf.calls.back().sent + of(q).delay)) break;
-    for (int j = 0; j < span; ++j) {
-      for (const auto i : by_cell[static_cast<std::size_t>((leaf.shard + j) % cells)]) {
-        auto& node = at(i);
-        if (tried(i) != again || !allowed(q, leaf, node, now)) continue;
-        // A further call at a node under suspicion would most likely be spent in vain and keep it full.
-        if (!leaf.calls.empty() && shunned(node, now)) continue;
-        const auto value = score(node, now) * (node.zone == zone ? 1 : 1 + kZoneTie) *
-                           (1 + 1e-6 * static_cast<double>(chance() % 1000));
-        if (value < best) {
-          best = value;
-          chosen = i;
-        }
+    any_holder(leaf, [&](int i) {
+      auto& node = at(i);
+      if (tried(i) != again || !allowed(q, leaf, node, now)) return false;
+      // A further call at a node under suspicion would most likely be spent in vain and keep it full.
+      if (!leaf.calls.empty() && shunned(node, now)) return false;
+      const auto value = score(node, now) * (node.zone == zone ? 1 : 1 + kZoneTie) *
+                         (1 + 1e-6 * static_cast<double>(chance() % 1000));
+      if (value < best) {
+        best = value;
+        chosen = i;
       }
-    }
+      return false;
+    });
   }
   return chosen;
 }
 
 bool Brain::State::copy_due(const Query& q, const Leaf& leaf, double now) {
   return may_copy && of(q).effect == Effect::repeatable && leaf.calls.size() == 1 && pending(leaf.calls[0]) &&
-         now >= leaf.calls[0].sent + of(q).delay + excess(leaf) - 1e-6 && now < slo_end(q);
+         now >= copy_at(q, leaf) - 1e-6 && now < slo_end(q);
 }
 
 // A part is given up and sent again where each call that is out is too old to be slow, at a node that is
@@ -639,11 +651,7 @@
 bool Brain::State::within_reach(const Query& q, double now) {
   double reach = 0;
   for (const auto& leaf : q.leaves) {
-    auto any = false;
-    for (int j = 0; j < span && !any; ++j)
-      for (const auto i : by_cell[static_cast<std::size_t>((leaf.shard + j) % cells)])
-        any = any || (at(i).up && !shunned(at(i), now));
-    if (any) reach += leaf.weight;
+    if (any_holder(leaf, [&](int i) { return at(i).up && !shunned(at(i), now); })) reach += leaf.weight;
   }
   return reach >= of(q).least - kRounding;
 }
@@ -713,8 +721,8 @@
     node.groups.erase(group);
   if (call.outcome == Outcome::unsent) return;
   const auto good = call.outcome == Outcome::success;
-  if (call.outcome != Outcome::cancelled && call.outcome != Outcome::timed_out) node.answered = now;
   const auto bound = call.outcome == Outcome::cancelled || call.outcome == Outcome::timed_out;
+  if (!bound) node.answered = now;
   // A full node is strain though it answers at once: without this a fleet that turns most parts away looked
   // idle.
   if (call.outcome == Outcome::overloaded) v.strain.add(now, {1, true});
@@ -776,8 +784,7 @@
     // A copy helps where the other replica can be expected to answer within the very delay that made
     // this one late. When all are slow, or the others queue too, it would only add to the load.
     if (out && best > s.of(q).delay) continue;
-    for (std::size_t call = 0; again && call < leaf.calls.size(); ++call)
-      if (pending(leaf.calls[call])) answer.cancels.push_back({static_cast<int>(i), static_cast<int>(call)});
+    if (again) cancel_pending(answer, leaf, static_cast<int>(i));
     answer.sends.push_back(s.commit(q, static_cast<int>(i), node, copy, now));
   }
   return answer;
@@ -792,9 +799,7 @@
   Answer answer;
   if (call.outcome != Outcome::success || leaf.in) return answer;
   leaf.in = true;
-  if (s.may_cancel)
-    for (std::size_t i = 0; i < leaf.calls.size(); ++i)
-      if (pending(leaf.calls[i])) answer.cancels.push_back({leaf_index, static_cast<int>(i)});
+  if (s.may_cancel) cancel_pending(answer, leaf, leaf_index);
   return answer;
 }
 
@@ -806,7 +811,7 @@
   for (const auto& leaf : q.leaves) {
     if (leaf.in) continue;
     const auto copied = leaf.calls.size() == 1 && s.may_copy && v.effect == Effect::repeatable;
-    const auto copy = copied ? leaf.calls[0].sent + v.delay + s.excess(leaf) : now;
+    const auto copy = copied ? s.copy_at(q, leaf) : now;
     due = std::min(due, copy > now ? copy : now + kPeriod);
   }
   return std::max(due - now, 1e-3);
