--- /dev/null
+++ b/src/queries/due.hpp
@@ -0,0 +1,50 @@
+// Everything that is to happen at some time, in one ordered structure.
+#pragma once
+
+#include <functional>
+#include <limits>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+namespace yoketurn {
+
+class DueTimes {
+ public:
+  using Key = long long;  // one due time a key; those of the same time come in the order of their keys
+  using Work = std::function<void(double now)>;
+
+  Key fresh_key() { return --last_key_; }  // below 0; whoever numbers things by itself does so from 0
+
+  void set(Key key, double at, Work work) {
+    drop(key);
+    times_.emplace(key, at);
+    order_.emplace(std::pair{at, key}, std::move(work));
+  }
+  void drop(Key key) {
+    const auto at = times_.find(key);
+    if (at == times_.end()) return;
+    order_.erase({at->second, key});
+    times_.erase(at);
+  }
+  void run(double now) {
+    while (!order_.empty() && order_.begin()->first.first <= now) {
+      const auto first = order_.begin();
+      const auto work = std::move(first->second);
+      times_.erase(first->first.second);
+      order_.erase(first);
+      work(now);
+    }
+  }
+  double next() const {
+    return order_.empty() ? std::numeric_limits<double>::infinity() : order_.begin()->first.first;
+  }
+  std::size_t size() const { return order_.size(); }
+
+ private:
+  Key last_key_ = 0;
+  std::unordered_map<Key, double> times_;
+  std::map<std::pair<double, Key>, Work> order_;
+};
+
+}  // namespace yoketurn
--- /dev/null
+++ b/src/queries/queries.cpp
@@ -0,0 +1,137 @@
+#include "queries/queries.hpp"
+
+#include <algorithm>
+
+namespace yoketurn {
+
+Queries::Queries(const Settings& settings, std::uint64_t seed, double now, DueTimes& due, Actions& actions)
+    : brain_(settings, seed, now), due_(due), actions_(actions) {
+  for (const auto& vertical : settings.verticals) second_steps_.push_back(vertical.second_step);
+}
+
+void Queries::take(long long number, Query start, double now) {
+  brain_.take(1, now);
+  auto held = std::make_unique<Held>();
+  held->query = std::move(start);
+  held->query.taken = now;
+  held->query.awaited = 1;  // until its parts come, in the same turn
+  touch(number, *held);
+  held_[number] = std::move(held);
+}
+
+int Queries::take_part(long long number, Leaf leaf, double now) {
+  brain_.take(1, now);
+  const auto at = held_.find(number);
+  if (at == held_.end() || at->second->query.ended) return kNone;
+  auto& held = *at->second;
+  leaf.step = held.query.step;
+  held.query.leaves.push_back(std::move(leaf));
+  held.scores.push_back(0);
+  held.query.awaited = 0;  // all parts of a step come in one turn, which is answered as a whole
+  touch(number, held);
+  return static_cast<int>(held.query.leaves.size()) - 1;
+}
+
+void Queries::outcome(long long number, int leaf, int call_number, Outcome outcome, double score,
+                      double now) {
+  const auto at = held_.find(number);
+  if (at == held_.end()) return;
+  auto& held = *at->second;
+  auto& calls = held.query.leaves[static_cast<std::size_t>(leaf)].calls;
+  if (call_number < 0 || static_cast<std::size_t>(call_number) >= calls.size()) return;
+  auto& call = calls[static_cast<std::size_t>(call_number)];
+  if (call.outcome != Outcome::pending) return;
+  call.outcome = outcome;
+  held.scores[static_cast<std::size_t>(leaf)] = score;
+  --held.pending;
+  perform(number, held, brain_.settle(held.query, leaf, call_number, now), now);
+  touch(number, held);
+}
+
+void Queries::gone(long long number) {
+  if (const auto at = held_.find(number); at != held_.end()) end(number, *at->second);
+}
+
+void Queries::touch(long long number, Held& held) {
+  if (held.touched) return;
+  held.touched = true;
+  touched_.push_back(number);
+}
+
+void Queries::perform(long long number, Held& held, const Answer& answer, double now) {
+  for (const auto& cancel : answer.cancels) actions_.cancel(number, cancel);
+  for (const auto& send : answer.sends) {
+    held.query.leaves[static_cast<std::size_t>(send.leaf)].calls.push_back(
+        {send.node, send.group, now, Outcome::pending});
+    ++held.pending;
+    actions_.send(number, send);
+  }
+  if (answer.end != End::none) finish_step(number, held, answer);
+}
+
+void Queries::finish_step(long long number, Held& held, const Answer& answer) {
+  auto& q = held.query;
+  if (answer.end == End::reject) {
+    actions_.reject(number, answer.stay_away);
+  } else if (answer.end == End::abort) {
+    actions_.abort(number);
+  } else {
+    const auto second = second_steps_[static_cast<std::size_t>(q.vertical)];
+    const auto first_of_two = second > 0 && q.step == 1;
+    if (first_of_two) {
+      const auto in =
+          std::count_if(q.leaves.begin(), q.leaves.end(), [](const Leaf& leaf) { return leaf.in; });
+      q.step = 2;
+      q.first_whole = answer.end == End::merge_whole;
+      q.awaited = std::min(second, static_cast<int>(in));
+    }
+    actions_.merge(number, answer.end == End::merge_whole);
+    if (first_of_two) return;
+  }
+  end(number, held);
+}
+
+bool Queries::awaits_parts(long long number) const {
+  const auto at = held_.find(number);
+  return at != held_.end() && !at->second->query.ended && at->second->query.step == 2 &&
+         at->second->query.awaited > 0;
+}
+
+std::vector<int> Queries::second_step(long long number) const {
+  const auto& held = *held_.at(number);
+  std::vector<int> in;
+  for (std::size_t i = 0; i < held.query.leaves.size(); ++i)
+    if (held.query.leaves[i].in) in.push_back(static_cast<int>(i));
+  std::stable_sort(in.begin(), in.end(), [&](int a, int b) {
+    return held.scores[static_cast<std::size_t>(a)] > held.scores[static_cast<std::size_t>(b)];
+  });
+  in.resize(std::min(in.size(), static_cast<std::size_t>(held.query.awaited)));
+  return in;
+}
+
+void Queries::end(long long number, Held& held) {
+  held.query.ended = true;
+  due_.drop(number);
+  touch(number, held);
+}
+
+void Queries::finish(double now) {
+  due_.run(now);
+  for (std::size_t i = 0; i < touched_.size(); ++i) {
+    const auto number = touched_[i];
+    auto& held = *held_.at(number);
+    if (!held.query.ended) perform(number, held, brain_.route(held.query, now), now);
+    held.touched = false;
+    if (!held.query.ended) {
+      due_.set(number, now + brain_.wait(held.query, now), [this, number](double) {
+        if (const auto at = held_.find(number); at != held_.end()) touch(number, *at->second);
+      });
+    } else if (held.pending == 0) {
+      held_.erase(number);
+      actions_.forget(number);
+    }
+  }
+  touched_.clear();
+}
+
+}  // namespace yoketurn
--- a/src/wire/instance.hpp
+++ b/src/wire/instance.hpp
@@ -1,16 +1,14 @@
-// One instance of the decision module on the wire: holds its queries, its due times and the names of things.
+// One instance of the decision module on the wire: turns events into calls, and actions into messages.
 #pragma once
 
 #include <cstdint>
 #include <map>
-#include <memory>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
-#include "brain.hpp"
+#include "queries/queries.hpp"
 #include "wire/text.hpp"
 
 namespace yoketurn::wire {
@@ -24,7 +22,7 @@
   double born = 0;
 };
 
-class Instance {
+class Instance : private Actions {
  public:
   Instance(std::string name, std::uint64_t seed, const Pairs& setup, double now);
 
@@ -36,39 +34,32 @@
   void finish(double now, std::string& reply);  // answers all that the batch has touched
 
  private:
-  struct Held {
-    Query query;
-    long long id = 0;
-    long long ask = 0;
-    std::vector<long long> ids;  // of the leaves
-    int pending = 0;             // leaf calls without an outcome
-    double due = -1;
-    bool touched = false;
+  struct Ids {
+    long long query = 0;
+    std::vector<long long> leaves;
   };
 
-  Instance(std::string name, std::uint64_t seed, const Pairs& setup, const Settings& start, double now);
   int node(long long id);
-  void touch(Held& held);
-  void schedule(Held& held, double due);
-  void take_part(Held& held, long long id, int shard, double weight, double work);
-  void perform(Held& held, const Answer& answer, double now);
-  void finish_step(Held& held, End end, double stay_away);
-  void end(Held& held);
   void set_timer(const char* token, double at, double now);
   template <class... Parts>
   void say(const char* verb, Parts... parts);
 
+  void send(long long query, const Send& send) override;
+  void cancel(long long query, const Cancel& cancel) override;
+  void merge(long long query, bool whole) override;
+  void reject(long long query, double stay_away) override;
+  void abort(long long query) override;
+  void forget(long long query) override;
+
   std::string name_;
-  Brain brain_;
-  std::map<std::string, int, std::less<>> verticals_, customers_, zones_;
-  std::vector<int> second_steps_;
+  DueTimes due_;
+  Queries queries_;
+  Names verticals_, customers_, zones_;
   std::unordered_map<long long, int> nodes_;
   std::vector<long long> node_ids_;
-  std::map<long long, std::unique_ptr<Held>> queries_;               // by query number
+  std::unordered_map<long long, Ids> ids_;                           // by query number
   std::unordered_map<long long, long long> asks_;                    // query id to its number
   std::unordered_map<long long, std::pair<long long, int>> leaves_;  // part id to query number and leaf
-  std::set<std::pair<double, long long>> due_;                       // the one ordered structure of due times
-  std::vector<long long> touched_;
   double wake_at_ = -1;  // the outstanding wake-up; below 0: none
   bool tick_set_ = false;
   std::string said_;
