--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -768,7 +768,7 @@
     if (bound || q.step == 2 || !s.of(q).two_steps) s.of(q).query_times.add(now, {now - q.taken, bound});
   }
   if (answer.end != End::none || q.awaited > 0) return answer;
-  if (!q.admitted && s.refuse(q, now)) return s.give_up(q);
+  if (!q.admitted && (q.no_room || s.refuse(q, now))) return s.give_up(q);
   q.admitted = true;
   for (std::size_t i = 0; i < q.leaves.size(); ++i) {
     const auto& leaf = q.leaves[i];
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -98,6 +98,7 @@
   double expires = 0;
   double work = 0;  // hint; 0: unknown
   bool client_retry = false;
+  bool no_room = false;  // there are too many in hand to hold it
   bool admitted = false;
   int step = 1;
   int awaited = 0;           // parts of this step that have not been named yet
--- /dev/null
+++ b/src/clients/connection.hpp
@@ -0,0 +1,66 @@
+// One client's connection: requests in, one at a time, and answers out.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "buffers/ring.hpp"
+#include "clients/bodies.hpp"
+#include "queries/due.hpp"
+
+namespace yoketurn {
+
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  using Request = boost::beast::http::request<boost::beast::http::string_body>;
+
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    virtual void asked(ClientConnection& connection, const Request& request) = 0;
+    virtual void left(ClientConnection& connection) = 0;  // the client, with a request in hand
+    virtual void closed(ClientConnection& connection) = 0;
+    virtual bool keeps() const = 0;  // whether connections stay open after an answer
+  };
+
+  ClientConnection(boost::asio::ip::tcp::socket socket, DueTimes& due, Owner& owner, int id);
+
+  void start();
+  void answer(int status, std::string_view body, double retry_after = 0);
+  void close();
+  // Between two requests: nothing of a request has been read.
+  bool idle() const { return state_ == State::reading && !begun_; }
+  bool half_read() const { return state_ == State::reading && begun_; }
+  bool asked() const { return state_ == State::asked; }
+  double since() const { return since_; }
+  int id() const { return id_; }
+
+ private:
+  enum class State { reading, asked, answering, lingering, closed };
+
+  void read();
+  void take();
+  void fail(int status, std::string_view why);
+  void write();
+  void written();
+
+  boost::asio::ip::tcp::socket socket_;
+  DueTimes& due_;
+  Owner& owner_;
+  int id_;
+  DueTimes::Key due_key_;
+  State state_ = State::reading;
+  bool begun_ = false;
+  bool keep_alive_ = true;
+  bool reading_ = false;
+  bool writing_ = false;
+  double since_ = 0;  // when it came to be between two requests
+  Ring in_, out_;
+  std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
+};
+
+}  // namespace yoketurn
--- /dev/null
+++ b/src/clients/listener.cpp
@@ -0,0 +1,116 @@
+#include "clients/listener.hpp"
+
+#include <algorithm>
+
+#include "queries/clock.hpp"
+
+namespace yoketurn {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr double kAgain = 0.01;  // until accepting is tried again after an error
+
+}  // namespace
+
+Listener::Listener(asio::io_context& context, DueTimes& due, std::size_t most_connections, Log& log,
+                   Asker& asker)
+    : context_(context),
+      acceptor_(context),
+      due_(due),
+      due_key_(due.fresh_key()),
+      most_connections_(most_connections),
+      log_(log),
+      asker_(asker) {}
+
+Listener::~Listener() {
+  for (const auto& [id, connection] : std::unordered_map(connections_)) connection->close();
+}
+
+void Listener::open(const asio::ip::tcp::endpoint& at) {
+  acceptor_.open(at.protocol());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind(at);
+  acceptor_.listen();
+  accept();
+}
+
+// At the bound, what is accepted waits in the kernel until a connection is done with: none that is taken is
+// dropped with a request in it.
+void Listener::accept() {
+  if (accepting_ || !acceptor_.is_open()) return;
+  if (connections_.size() >= most_connections_ && !make_room()) return;
+  accepting_ = true;
+  acceptor_.async_accept([this](const auto& error, asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    accepting_ = false;
+    if (error) {
+      log_.line("accept_failed", "why=\"{}\" connections={}", error.message(), connections_.size());
+      due_.set(due_key_, now() + kAgain, [this](double) { accept(); });
+      return;
+    }
+    const auto id = ++last_id_;
+    const auto connection =
+        std::make_shared<ClientConnection>(std::move(socket), due_, static_cast<Owner&>(*this), id);
+    connections_[id] = connection;
+    connection->start();
+    accept();
+  });
+}
+
+bool Listener::make_room() {
+  std::shared_ptr<ClientConnection> oldest;
+  for (const auto& [id, connection] : connections_) {
+    if (!connection->idle() && !connection->half_read()) continue;
+    if (!oldest || std::pair(oldest->half_read(), oldest->since()) >
+                       std::pair(connection->half_read(), connection->since()))
+      oldest = connection;
+  }
+  if (!oldest) return false;
+  log_.line("client_room", "connections={}", connections_.size());
+  oldest->close();
+  return true;
+}
+
+void Listener::answer(int connection, int status, std::string_view body, double retry_after) {
+  const auto at = connections_.find(connection);
+  if (at == connections_.end()) return;
+  const auto held = at->second;  // an answer may be its last
+  held->answer(status, body, retry_after);
+}
+
+void Listener::wind_down() {
+  winding_down_ = true;
+}
+
+void Listener::close_idle() {
+  for (const auto& [id, connection] : std::unordered_map(connections_))
+    if (connection->idle()) connection->close();
+}
+
+bool Listener::owes() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& held) { return !held.second->idle() && !held.second->half_read(); });
+}
+
+void Listener::stop() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  due_.drop(due_key_);
+}
+
+void Listener::asked(ClientConnection& connection, const ClientConnection::Request& request) {
+  asker_.asked(connection.id(), request);
+}
+
+void Listener::left(ClientConnection& connection) {
+  asker_.left(connection.id());
+}
+
+void Listener::closed(ClientConnection& connection) {
+  connections_.erase(connection.id());
+  accept();
+}
+
+}  // namespace yoketurn
--- /dev/null
+++ b/src/clients/listener.hpp
@@ -0,0 +1,58 @@
+// Accepts clients and holds their connections.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <unordered_map>
+
+#include "clients/connection.hpp"
+#include "logging/log.hpp"
+
+namespace yoketurn {
+
+class Listener : private ClientConnection::Owner {
+ public:
+  // What is asked, by connection; an answer may be given at once or later.
+  class Asker {
+   public:
+    virtual ~Asker() = default;
+    virtual void asked(int connection, const ClientConnection::Request& request) = 0;
+    virtual void left(int connection) = 0;
+  };
+
+  Listener(boost::asio::io_context& context, DueTimes& due, std::size_t most_connections, Log& log,
+           Asker& asker);
+  ~Listener();
+
+  void open(const boost::asio::ip::tcp::endpoint& at);  // throws if it can't listen there
+  void answer(int connection, int status, std::string_view body, double retry_after = 0);
+  void wind_down();   // answers are the last of their connections from here on
+  void close_idle();  // between two requests
+  void stop();        // accepts no more
+  bool owes() const;  // an answer that has not been written
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  void asked(ClientConnection& connection, const ClientConnection::Request& request) override;
+  void left(ClientConnection& connection) override;
+  void closed(ClientConnection& connection) override;
+  bool keeps() const override { return !winding_down_; }
+
+  void accept();
+  bool make_room();
+
+  boost::asio::io_context& context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  DueTimes& due_;
+  DueTimes::Key due_key_;
+  std::size_t most_connections_;
+  Log& log_;
+  Asker& asker_;
+  bool accepting_ = false;
+  bool winding_down_ = false;
+  int last_id_ = 0;
+  std::unordered_map<int, std::shared_ptr<ClientConnection>> connections_;
+};
+
+}  // namespace yoketurn
--- /dev/null
+++ b/src/datanodes/connection.cpp
@@ -0,0 +1,194 @@
+#include "datanodes/connection.hpp"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+
+#include "queries/clock.hpp"
+
+namespace yoketurn {
+
+namespace asio = boost::asio;
+
+NodeConnection::NodeConnection(asio::io_context& context, DueTimes& due, const Limits& limits, Owner& owner,
+                               int node)
+    : socket_(context),
+      due_(due),
+      limits_(limits),
+      owner_(owner),
+      node_(node),
+      due_key_(due.fresh_key()),
+      in_(kLargestFrame),
+      outgoing_(kLargestFrame * limits.parts_a_call) {}
+
+void NodeConnection::open(const asio::ip::tcp::endpoint& at) {
+  state_ = State::connecting;
+  last_used_ = now();
+  touch_due(last_used_ + limits_.connect_timeout);
+  socket_.async_connect(at, [self = shared_from_this()](const auto& error) { self->on_open(error); });
+}
+
+void NodeConnection::on_open(const boost::system::error_code& error) {
+  if (state_ != State::connecting) return;
+  if (error) return close(error.message());
+  boost::system::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  state_ = State::open;
+  last_used_ = now();
+  read();
+  pump();
+  settle();
+}
+
+void NodeConnection::touch_due(double at) {
+  due_.set(due_key_, at, [weak = weak_from_this()](double) {
+    const auto self = weak.lock();
+    if (!self) return;
+    if (self->state_ == State::connecting) {
+      self->close("connect timeout");
+    } else if (self->idle()) {
+      self->close("idle");
+    }
+  });
+}
+
+bool NodeConnection::takes(std::span<const OutgoingPart> parts, double now) const {
+  if (state_ == State::closed || retired_) return false;
+  // What is written to a connection that the node is about to close for being idle ends as a reset.
+  if (idle() && state_ == State::open && now >= last_used_ + limits_.idle_timeout - limits_.connect_timeout)
+    return false;
+  if (out_.size() + given_up_.size() + parts.size() > limits_.parts) return false;
+  // An answer names the part, not the call: an earlier call of the same part must not be on this connection.
+  return std::none_of(parts.begin(), parts.end(), [&](const OutgoingPart& part) {
+    return out_.contains(part.id) || given_up_.contains(part.id);
+  });
+}
+
+void NodeConnection::send(std::vector<OutgoingPart> parts, double now) {
+  for (const auto& part : parts) out_[part.id] = {part.ref, false};
+  waiting_.push_back(std::move(parts));
+  last_used_ = now;
+  if (state_ == State::open) due_.drop(due_key_);
+  pump();
+}
+
+void NodeConnection::pump() {
+  if (state_ != State::open) return;
+  while (!waiting_.empty()) {
+    std::vector<PartText> texts;
+    std::vector<std::string> ids;
+    for (const auto& part : waiting_.front()) {
+      texts.push_back({part.id, part.shard, part.list, *part.text});
+      ids.push_back(part.id);
+    }
+    const auto frame = call_frame(texts);
+    if (!outgoing_.put(frame)) break;
+    queued_ += frame.size();
+    in_ring_.push_back({queued_, std::move(ids)});
+    waiting_.pop_front();
+  }
+  write();
+}
+
+void NodeConnection::write() {
+  if (writing_ || state_ != State::open || outgoing_.size() == 0) return;
+  writing_ = true;
+  socket_.async_write_some(outgoing_.data(), [self = shared_from_this()](const auto& error, auto count) {
+    self->writing_ = false;
+    if (self->state_ != State::open) return;
+    if (error) return self->close(error.message());
+    self->outgoing_.consume(count);
+    self->outgoing_.release();
+    self->written_ += count;
+    while (!self->in_ring_.empty() && self->in_ring_.front().end <= self->written_) {
+      for (const auto& id : self->in_ring_.front().ids)
+        if (const auto call = self->out_.find(id); call != self->out_.end()) call->second.written = true;
+      self->in_ring_.pop_front();
+    }
+    self->pump();
+  });
+}
+
+void NodeConnection::read() {
+  socket_.async_read_some(in_.space(), [self = shared_from_this()](const auto& error, auto count) {
+    if (self->state_ != State::open) return;
+    if (error) return self->close(error.message());
+    self->in_.commit(count);
+    self->last_used_ = now();
+    Frame frame;
+    for (;;) {
+      const auto state = take_frame(self->in_, frame);
+      if (state == FrameState::incomplete) break;
+      if (state == FrameState::broken || !self->take(frame)) return self->close("unusable frame");
+      if (self->state_ != State::open) return;
+    }
+    self->in_.release();
+    self->read();
+  });
+}
+
+bool NodeConnection::take(const Frame& frame) {
+  if (frame.letter == 'H' || frame.letter == 'M') return true;  // answers to probes, which are not sent
+  if (frame.letter != 'R') return false;
+  const auto answer = read_answer(frame.rest);
+  if (!answer) return false;
+  const std::string id(answer->id);
+  const auto at = out_.find(id);
+  if (at == out_.end()) {
+    given_up_.erase(id);
+    return true;
+  }
+  const auto ref = at->second.ref;
+  out_.erase(at);
+  owner_.ended(ref, answer->outcome, answer->score, answer->value);
+  settle();
+  return true;
+}
+
+void NodeConnection::give_up(const std::string& id) {
+  if (out_.erase(id) == 0) return;
+  given_up_.insert(id);
+  const auto frame = give_up_frame(id);
+  if (state_ == State::open && outgoing_.put(frame)) queued_ += frame.size();
+  write();
+  settle();
+}
+
+bool NodeConnection::unsend(const std::string& id) {
+  for (auto call = waiting_.begin(); call != waiting_.end(); ++call) {
+    const auto part = std::find_if(call->begin(), call->end(), [&](const auto& p) { return p.id == id; });
+    if (part == call->end()) continue;
+    call->erase(part);
+    if (call->empty()) waiting_.erase(call);
+    out_.erase(id);
+    settle();
+    return true;
+  }
+  return false;
+}
+
+void NodeConnection::retire() {
+  retired_ = true;
+  settle();
+}
+
+void NodeConnection::settle() {
+  if (state_ != State::open || !idle()) return;
+  if (retired_) return close("retired");
+  touch_due(last_used_ + limits_.idle_timeout - limits_.connect_timeout);
+}
+
+void NodeConnection::close(std::string_view why) {
+  if (state_ == State::closed) return;
+  state_ = State::closed;
+  due_.drop(due_key_);
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  waiting_.clear();
+  const auto self = shared_from_this();
+  // A frame whose last byte was never written cannot have run; any other may have.
+  for (const auto& [id, call] : std::exchange(out_, {}))
+    owner_.ended(call.ref, call.written ? Outcome::broken : Outcome::unreachable, 0, {});
+  owner_.closed(*this, why);
+}
+
+}  // namespace yoketurn
--- /dev/null
+++ b/src/datanodes/frames.cpp
@@ -0,0 +1,88 @@
+#include "datanodes/frames.hpp"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <charconv>
+#include <cmath>
+
+namespace yoketurn {
+namespace {
+
+constexpr std::size_t kLengthBytes = 4;
+
+std::string frame(char letter, std::string_view rest) {
+  const auto length = rest.size() + 1;
+  std::string result;
+  result.reserve(kLengthBytes + length);
+  for (int shift = 24; shift >= 0; shift -= 8) result += static_cast<char>((length >> shift) & 0xff);
+  result += letter;
+  result += rest;
+  return result;
+}
+
+std::string_view word(std::string_view& line) {
+  const auto end = std::min(line.find(' '), line.size());
+  const auto result = line.substr(0, end);
+  line.remove_prefix(std::min(end + 1, line.size()));
+  return result;
+}
+
+}  // namespace
+
+std::string call_frame(std::span<const PartText> parts) {
+  std::string rest;
+  for (const auto& part : parts) {
+    rest += fmt::format("{} {} {} {}\n", part.id, part.shard, part.list, part.text.size());
+    rest += part.text;
+  }
+  return frame('S', rest);
+}
+
+std::string give_up_frame(std::string_view id) {
+  return frame('C', id);
+}
+
+FrameState take_frame(Ring& ring, Frame& result) {
+  if (ring.size() < kLengthBytes) return FrameState::incomplete;
+  std::array<char, kLengthBytes> head{};
+  ring.peek(0, head.data(), head.size());
+  std::size_t length = 0;
+  for (const auto byte : head) length = length << 8 | static_cast<unsigned char>(byte);
+  if (length == 0 || length + kLengthBytes > kLargestFrame) return FrameState::broken;
+  if (ring.size() < kLengthBytes + length) return FrameState::incomplete;
+  ring.peek(kLengthBytes, &result.letter, 1);
+  result.rest.resize(length - 1);
+  ring.peek(kLengthBytes + 1, result.rest.data(), length - 1);
+  ring.consume(kLengthBytes + length);
+  return FrameState::whole;
+}
+
+std::optional<PartAnswer> read_answer(std::string_view rest) {
+  const auto end = rest.find('\n');
+  if (end == std::string_view::npos) return std::nullopt;
+  auto line = rest.substr(0, end);
+  PartAnswer answer;
+  answer.value = rest.substr(end + 1);
+  answer.id = word(line);
+  const auto how = word(line);
+  const auto score = word(line);
+  if (answer.id.empty() || score.empty()) return std::nullopt;
+  if (how == "done") {
+    answer.outcome = Outcome::success;
+  } else if (how == "failed") {
+    answer.outcome = Outcome::failure;
+  } else if (how == "full") {
+    answer.outcome = Outcome::overloaded;
+  } else {
+    return std::nullopt;
+  }
+  if (score != "-") {
+    const auto [stop, error] = std::from_chars(score.data(), score.data() + score.size(), answer.score);
+    if (error != std::errc{} || stop != score.data() + score.size() || !std::isfinite(answer.score))
+      return std::nullopt;
+  }
+  return answer;
+}
+
+}  // namespace yoketurn
--- /dev/null
+++ b/src/datanodes/pool.cpp
@@ -0,0 +1,123 @@
+#include "datanodes/pool.hpp"
+
+#include <algorithm>
+
+#include "queries/clock.hpp"
+
+namespace yoketurn {
+
+Pool::Pool(boost::asio::io_context& context, DueTimes& due, const NodeConnection::Limits& limits,
+           std::size_t most_connections, Log& log, Listener& listener)
+    : context_(context),
+      due_(due),
+      limits_(limits),
+      most_connections_(most_connections),
+      log_(log),
+      listener_(listener) {}
+
+Pool::~Pool() {
+  for (auto& node : nodes_)
+    for (const auto& connection : std::vector(node.connections)) connection->close("stopped");
+}
+
+void Pool::locate(int node, const boost::asio::ip::tcp::endpoint& at) {
+  if (nodes_.size() <= static_cast<std::size_t>(node)) nodes_.resize(static_cast<std::size_t>(node) + 1);
+  auto& known = nodes_[static_cast<std::size_t>(node)];
+  if (known.at == at) return;
+  known.at = at;
+  for (const auto& connection : std::vector(known.connections)) connection->retire();
+}
+
+void Pool::leave(int node) {
+  if (static_cast<std::size_t>(node) >= nodes_.size()) return;
+  for (const auto& connection : std::vector(nodes_[static_cast<std::size_t>(node)].connections))
+    connection->retire();
+}
+
+void Pool::send(int node, int group, OutgoingPart part, double timeout) {
+  const auto ref = part.ref;
+  auto& out = out_[ref];
+  out.id = part.id;
+  out.due = due_.fresh_key();
+  due_.set(out.due, now() + timeout, [this, ref](double) { give_up(ref, Outcome::timed_out); });
+  turn_[{node, group}].push_back(std::move(part));
+}
+
+void Pool::flush() {
+  const auto at = now();
+  for (auto& [where, parts] : std::exchange(turn_, {})) {
+    std::erase_if(parts, [&](const OutgoingPart& part) { return !out_.contains(part.ref); });
+    if (parts.empty()) continue;
+    const auto connection = connection_for(where.first, parts, at);
+    if (!connection) {
+      log_.line("no_connection", "node={} open={}", where.first, open_);
+      for (const auto& part : parts) ended(part.ref, Outcome::unsent, 0, {});
+      continue;
+    }
+    for (const auto& part : parts) out_[part.ref].connection = connection;
+    connection->send(std::move(parts), at);
+  }
+}
+
+std::shared_ptr<NodeConnection> Pool::connection_for(int node, std::span<const OutgoingPart> parts,
+                                                     double now) {
+  auto& known = nodes_.at(static_cast<std::size_t>(node));
+  for (const auto& connection : known.connections)
+    if (connection->takes(parts, now)) return connection;
+  if (open_ >= most_connections_ && !make_room()) return nullptr;
+  const auto fresh =
+      std::make_shared<NodeConnection>(context_, due_, limits_, static_cast<Owner&>(*this), node);
+  known.connections.push_back(fresh);
+  ++open_;
+  fresh->open(known.at);
+  return fresh;
+}
+
+bool Pool::make_room() {
+  std::shared_ptr<NodeConnection> oldest;
+  for (const auto& node : nodes_)
+    for (const auto& connection : node.connections)
+      if (connection->idle() && (!oldest || connection->last_used() < oldest->last_used()))
+        oldest = connection;
+  if (!oldest) return false;
+  oldest->close("room");
+  return true;
+}
+
+void Pool::give_up(const CallRef& ref, Outcome outcome) {
+  const auto at = out_.find(ref);
+  if (at == out_.end()) return;
+  const auto connection = at->second.connection.lock();
+  if (connection && !connection->unsend(at->second.id)) {
+    connection->give_up(at->second.id);
+  } else {
+    outcome = outcome == Outcome::timed_out ? Outcome::unreachable : Outcome::unsent;
+  }
+  ended(ref, outcome, 0, {});
+}
+
+void Pool::drop_unsent(long long query) {
+  std::vector<CallRef> unsent;
+  for (auto at = out_.lower_bound({query, 0, 0}); at != out_.end() && at->first.query == query; ++at) {
+    const auto connection = at->second.connection.lock();
+    if (!connection || connection->unsend(at->second.id)) unsent.push_back(at->first);
+  }
+  for (const auto& ref : unsent) ended(ref, Outcome::unsent, 0, {});
+}
+
+void Pool::ended(const CallRef& ref, Outcome outcome, double score, std::string_view value) {
+  const auto at = out_.find(ref);
+  if (at == out_.end()) return;
+  due_.drop(at->second.due);
+  out_.erase(at);
+  listener_.call_ended(ref, outcome, score, value);
+}
+
+void Pool::closed(NodeConnection& connection, std::string_view why) {
+  --open_;
+  std::erase_if(nodes_[static_cast<std::size_t>(connection.node())].connections,
+                [&](const auto& held) { return held.get() == &connection; });
+  if (why != "idle") log_.line("node_closed", "node={} why=\"{}\"", connection.node(), why);
+}
+
+}  // namespace yoketurn
--- /dev/null
+++ b/src/datanodes/pool.hpp
@@ -0,0 +1,65 @@
+// The connections to all data nodes, and the calls that are out on them.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "datanodes/connection.hpp"
+#include "logging/log.hpp"
+
+namespace yoketurn {
+
+class Pool : private NodeConnection::Owner {
+ public:
+  // Tells how a call has ended, once for each call; never from within one of the pool's own functions.
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    virtual void call_ended(const CallRef& ref, Outcome outcome, double score, std::string_view value) = 0;
+  };
+
+  Pool(boost::asio::io_context& context, DueTimes& due, const NodeConnection::Limits& limits,
+       std::size_t most_connections, Log& log, Listener& listener);
+  ~Pool();
+
+  void locate(int node, const boost::asio::ip::tcp::endpoint& at);
+  void leave(int node);  // idle connections are closed
+  // Parts of one group that are given in one turn travel as one call.
+  void send(int node, int group, OutgoingPart part, double timeout);
+  void flush();
+  void give_up(const CallRef& ref, Outcome outcome);
+  void drop_unsent(long long query);  // what has not begun to be written never will be
+  std::size_t connections() const { return open_; }
+
+ private:
+  struct Node {
+    boost::asio::ip::tcp::endpoint at;
+    std::vector<std::shared_ptr<NodeConnection>> connections;
+  };
+  struct Out {
+    std::weak_ptr<NodeConnection> connection;
+    std::string id;
+    DueTimes::Key due = 0;
+  };
+
+  void ended(const CallRef& ref, Outcome outcome, double score, std::string_view value) override;
+  void closed(NodeConnection& connection, std::string_view why) override;
+  std::shared_ptr<NodeConnection> connection_for(int node, std::span<const OutgoingPart> parts, double now);
+  bool make_room();
+
+  boost::asio::io_context& context_;
+  DueTimes& due_;
+  NodeConnection::Limits limits_;
+  std::size_t most_connections_;
+  Log& log_;
+  Listener& listener_;
+  std::vector<Node> nodes_;
+  std::map<CallRef, Out> out_;
+  std::map<std::pair<int, int>, std::vector<OutgoingPart>> turn_;  // by node and group
+  std::size_t open_ = 0;
+};
+
+}  // namespace yoketurn
--- /dev/null
+++ b/src/discovery/list.hpp
@@ -0,0 +1,36 @@
+// Discovery's lists of data nodes as they are read from JSON.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json/value.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace yoketurn {
+
+struct Member {
+  std::string id;
+  boost::asio::ip::tcp::endpoint at;
+  std::string zone;
+  int cell = 0;
+  bool up = false;
+  bool gone = false;
+  double started = 0;  // Unix time in seconds; 0: long ago
+};
+
+struct MemberList {
+  long long version = 0;
+  bool full = false;
+  std::vector<Member> members;
+};
+
+// Throws Malformed on what makes no sense; what it does not know it leaves out of account.
+MemberList read_list(const boost::json::value& value);
+MemberList read_list(std::string_view text);
+
+// host:port, as numbers.
+std::optional<boost::asio::ip::tcp::endpoint> read_endpoint(std::string_view text);
+
+}  // namespace yoketurn
--- /dev/null
+++ b/src/discovery/watch.hpp
@@ -0,0 +1,53 @@
+// Follows discovery: one connection that stays open and brings a list or its changes line by line.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "buffers/ring.hpp"
+#include "discovery/list.hpp"
+#include "logging/log.hpp"
+#include "queries/due.hpp"
+
+namespace yoketurn {
+
+class Watch {
+ public:
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    virtual void listed(const MemberList& list) = 0;
+    virtual void watch_lost() = 0;
+  };
+
+  Watch(boost::asio::io_context& context, DueTimes& due, const boost::asio::ip::tcp::endpoint& agent,
+        Log& log, Listener& listener);
+  ~Watch();
+
+  void start(std::optional<long long> known_version);
+
+ private:
+  struct Connection;
+
+  void open();
+  void on_lines(Connection& connection);
+  void on_line(std::string_view line);
+  void lost(std::string_view why);
+
+  boost::asio::io_context& context_;
+  DueTimes& due_;
+  boost::asio::ip::tcp::endpoint agent_;
+  Log& log_;
+  Listener& listener_;
+  DueTimes::Key due_key_;
+  std::optional<long long> version_;
+  std::shared_ptr<Connection> connection_;
+  bool nonsense_ = false;  // the last line could not be used: the whole list is asked for again
+};
+
+}  // namespace yoketurn
--- /dev/null
+++ b/src/logging/log.cpp
@@ -0,0 +1,29 @@
+#include "logging/log.hpp"
+
+#include <chrono>
+
+namespace yoketurn {
+
+void Log::write(std::string_view event, std::string_view values) {
+  auto& count = counts_[event];
+  if (count.written >= kLines) {
+    ++count.held_back;
+    return;
+  }
+  ++count.written;
+  const auto at = std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+  fmt::print(to_, "{:.3f} {} {}\n", at, event, values);
+  std::fflush(to_);
+}
+
+void Log::sum_up(double now) {
+  if (now < summed_ + 1) return;
+  summed_ = now;
+  for (auto& [event, count] : counts_) {
+    const auto held_back = count.held_back;
+    count = {};
+    if (held_back > 0) write(event, fmt::format("held_back={}", held_back));
+  }
+}
+
+}  // namespace yoketurn
--- a/src/queries/queries.cpp
+++ b/src/queries/queries.cpp
@@ -61,10 +61,10 @@
 void Queries::perform(long long number, Held& held, const Answer& answer, double now) {
   for (const auto& cancel : answer.cancels) actions_.cancel(number, cancel);
   for (const auto& send : answer.sends) {
-    held.query.leaves[static_cast<std::size_t>(send.leaf)].calls.push_back(
-        {send.node, send.group, now, Outcome::pending});
+    auto& calls = held.query.leaves[static_cast<std::size_t>(send.leaf)].calls;
+    calls.push_back({send.node, send.group, now, Outcome::pending});
     ++held.pending;
-    actions_.send(number, send);
+    actions_.send(number, send, static_cast<int>(calls.size()) - 1);
   }
   if (answer.end != End::none) finish_step(number, held, answer);
 }
--- a/src/queries/queries.hpp
+++ b/src/queries/queries.hpp
@@ -17,7 +17,7 @@
 class Actions {
  public:
   virtual ~Actions() = default;
-  virtual void send(long long query, const Send& send) = 0;
+  virtual void send(long long query, const Send& send, int call) = 0;
   virtual void cancel(long long query, const Cancel& cancel) = 0;
   virtual void merge(long long query, bool whole) = 0;  // of a first step: its second step is awaited then
   virtual void reject(long long query, double stay_away) = 0;
@@ -39,7 +39,8 @@
   int take_part(long long query, Leaf leaf, double now);  // its place among the parts; kNone: not wanted
   void outcome(long long query, int leaf, int call, Outcome outcome, double score, double now);
   void gone(long long query);
-  void finish(double now);  // asks the module for all that has changed; due times that have come are run first
+  void finish(
+      double now);  // asks the module for all that has changed; due times that have come are run first
 
   // The parts whose shards a second step goes to: the highest scores among those that are in.
   std::vector<int> second_step(long long query) const;
--- /dev/null
+++ b/src/router/router.cpp
@@ -0,0 +1,353 @@
+#include "router/router.hpp"
+
+#include <boost/asio/post.hpp>
+#include <cmath>
+#include <csignal>
+#include <set>
+
+#include "queries/clock.hpp"
+
+namespace yoketurn {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr double kCrossing = 0.7;  // the protocol's: after SIGTERM what arrives so late is owed nothing
+constexpr double kFigures = 10;    // between two lines of figures
+constexpr std::size_t kOtherSockets =
+    32;                                // standard streams, event queue, timers, signals, listener, discovery
+constexpr std::size_t kNodeShare = 4;  // one in so many descriptors may go to data nodes
+constexpr std::size_t kMostNodes = 20'000;         // known by name
+constexpr std::size_t kLargestValues = 64 * 1024;  // of one answer together: the protocol's largest body
+
+std::size_t node_connections(const Config& config) {
+  return (config.sockets - kOtherSockets) / kNodeShare;
+}
+
+NodeConnection::Limits node_limits(const Bounds& bounds) {
+  return {static_cast<std::size_t>(bounds.parts_a_connection), static_cast<std::size_t>(bounds.parts_a_call),
+          bounds.connect_timeout, bounds.idle_timeout};
+}
+
+Asked asked_of(const Config& config) {
+  Asked asked{index(config.verticals), {}, config.bounds.shards};
+  for (const auto& vertical : config.settings.verticals) asked.effects.push_back(vertical.effect);
+  return asked;
+}
+
+const char* name(Router::Phase phase) {
+  static constexpr const char* kNames[] = {"starting", "serving", "draining", "stopped"};
+  return kNames[static_cast<int>(phase)];
+}
+
+}  // namespace
+
+Router::Router(asio::io_context& context, const Config& config, Log& log)
+    : context_(context),
+      log_(log),
+      config_(config),
+      asked_(asked_of(config)),
+      zones_(index(config.zones)),
+      unix_at_zero_(unix_at_zero()),
+      queries_(config.settings, config.seed, now(), due_, *this),
+      pool_(context, due_, node_limits(config.bounds), node_connections(config), log, *this),
+      clients_(context, due_, config.sockets - kOtherSockets - node_connections(config), log, *this),
+      watch_(context, due_, config.discovery, log, *this),
+      tick_timer_(context),
+      due_timer_(context),
+      signals_(context) {}
+
+void Router::start() {
+  signals_.add(SIGTERM);
+  signals_.async_wait([this](const auto& error, int) {
+    if (!error) drain();
+  });
+  clients_.open(config_.listen);
+  log_.line("phase", "name={} router={} listen={}:{}", name(phase_), config_.name,
+            config_.listen.address().to_string(), config_.listen.port());
+  listed(config_.known);
+  watch_.start(config_.known.version);
+  next_tick_ = now();
+  figures_at_ = next_tick_ + kFigures;
+  tick();
+}
+
+void Router::enter(Phase phase) {
+  phase_ = phase;
+  log_.line("phase", "name={} in_hand={} clients={}", name(phase), by_client_.size(), clients_.connections());
+}
+
+// What crosses the signal is still answered: clients find out late, and their connections hold requests that
+// have not been read.
+void Router::drain() {
+  if (phase_ == Phase::draining) return;
+  enter(Phase::draining);
+  clients_.wind_down();
+  drained_at_ = now() + kCrossing;
+  wake();
+}
+
+void Router::wind_up(double at) {
+  if (phase_ != Phase::draining || at < drained_at_) return;
+  clients_.stop();
+  clients_.close_idle();
+  if (clients_.owes()) return;
+  enter(Phase::stopped);
+  context_.stop();
+}
+
+// --- time
+
+void Router::tick() {
+  const auto at = now();
+  next_tick_ = at + queries_.period();
+  queries_.tick(at);  // the list is always followed: it need not be asked for
+  log_.sum_up(at);
+  tell_figures(at);
+  turn();
+  tick_timer_.expires_after(std::chrono::duration_cast<asio::steady_timer::duration>(
+      std::chrono::duration<double>(std::max(next_tick_ - now(), 0.0))));
+  tick_timer_.async_wait([this](const auto& error) {
+    if (!error) tick();
+  });
+}
+
+void Router::wake() {
+  if (woken_) return;
+  woken_ = true;
+  asio::post(context_, [this] { turn(); });
+}
+
+// All that has come in since the last turn is told to the queries, and what they want is sent off.
+void Router::turn() {
+  woken_ = false;
+  const auto at = now();
+  for (auto& news : std::exchange(news_, {})) {
+    const auto held = held_.find(news.ref.query);
+    if (held == held_.end()) continue;
+    if (news.outcome == Outcome::success) keep(held->second, news.ref.leaf, std::move(news.value));
+    queries_.outcome(news.ref.query, news.ref.leaf, news.ref.call, news.outcome, news.score, at);
+  }
+  queries_.finish(at);
+  if (!merged_first_.empty()) {
+    for (const auto query : std::exchange(merged_first_, {})) take_second_step(query, at);
+    queries_.finish(at);
+  }
+  pool_.flush();
+  wind_up(at);
+  arm();
+}
+
+void Router::arm() {
+  const auto next = due_.next();
+  if (next == armed_) return;
+  armed_ = next;
+  if (!std::isfinite(next)) return;
+  due_timer_.expires_after(std::chrono::duration_cast<asio::steady_timer::duration>(
+      std::chrono::duration<double>(std::max(next - now(), 0.0))));
+  due_timer_.async_wait([this](const auto& error) {
+    if (error) return;
+    armed_ = 0;
+    turn();
+  });
+}
+
+void Router::tell_figures(double at) {
+  if (at < figures_at_) return;
+  figures_at_ = at + kFigures;
+  log_.line("figures",
+            "taken={} merged={} rejected={} aborted={} left={} bad={} in_hand={} open={} clients={} nodes={}",
+            figures_.taken, figures_.merged, figures_.rejected, figures_.aborted, figures_.left, figures_.bad,
+            by_client_.size(), open_, clients_.connections(), pool_.connections());
+}
+
+// --- clients
+
+void Router::asked(int connection, const ClientConnection::Request& request) {
+  try {
+    if (request.target() == "/_health") {
+      if (request.method() != boost::beast::http::verb::get) throw BadRequest(405, "health is a GET");
+      clients_.answer(connection, phase_ == Phase::serving ? 200 : 503, name(phase_));
+      return;
+    }
+    take(connection, read_ask(request, asked_));
+  } catch (const BadRequest& error) {
+    ++figures_.bad;
+    log_.line("bad_request", "status={} why=\"{}\"", error.status, error.what());
+    clients_.answer(connection, error.status, error.what());
+  }
+}
+
+void Router::take(int connection, Ask ask) {
+  const auto at = now();
+  const auto number = ++last_query_;
+  ++figures_.taken;
+  Query q;
+  q.vertical = ask.vertical;
+  q.expires = at + ask.remaining;
+  q.client_retry = ask.client_retry;
+  q.no_room = open_ >= config_.bounds.max_open;
+  for (const auto& target : ask.targets) q.work += target.work;
+  auto& held = held_[number];
+  held.client = connection;
+  held.text = std::make_shared<const std::string>(std::move(ask.text));
+  held.key = std::move(ask.key);
+  held.id = ask.id;
+  by_client_[connection] = number;
+  ++open_;
+  queries_.take(number, std::move(q), at);
+  for (const auto& target : ask.targets) {
+    queries_.take_part(number, {target.shard, target.share, target.work, 1, false, {}}, at);
+    held.parts.push_back({ask.id + "." + std::to_string(target.shard), target.shard, false, {}});
+    ++open_;
+  }
+  wake();
+}
+
+void Router::left(int connection) {
+  const auto at = by_client_.find(connection);
+  if (at == by_client_.end()) return;
+  ++figures_.left;
+  const auto query = at->second;
+  queries_.gone(query);
+  done_with(query);
+  wake();
+}
+
+// The query has its final answer, or nobody waits for one.
+void Router::done_with(long long query) {
+  auto& held = held_.at(query);
+  by_client_.erase(held.client);
+  open_ -= 1 + static_cast<int>(held.parts.size());
+  held.open = false;
+  pool_.drop_unsent(query);
+}
+
+void Router::answer(long long query, int status, std::string_view body, double retry_after) {
+  auto& held = held_.at(query);
+  if (!held.open) return;
+  const auto client = held.client;
+  done_with(query);
+  clients_.answer(client, status, body, retry_after);
+}
+
+// --- what the queries want
+
+void Router::send(long long query, const Send& send, int call) {
+  const auto& held = held_.at(query);
+  const auto leaf = static_cast<std::size_t>(send.leaf);
+  const auto& part = held.parts[leaf];
+  auto list = fmt::format("d={}", std::max(std::llround(send.timeout * 1e3), 1LL));
+  if (!held.key.empty()) list += ",k=" + held.key;
+  if (send.leaf >= held.second_from) list += held.first_step;
+  pool_.send(send.node, send.group,
+             {{query, send.leaf, call}, part.id, part.shard, std::move(list), held.text}, send.timeout);
+}
+
+void Router::cancel(long long query, const Cancel& cancel) {
+  pool_.give_up({query, cancel.leaf, cancel.call}, Outcome::cancelled);
+}
+
+void Router::merge(long long query, bool whole) {
+  auto& held = held_.at(query);
+  if (queries_.awaits_parts(query)) {
+    held.first_step = fmt::format(",whole={:d}", whole);
+    merged_first_.push_back(query);
+    return;
+  }
+  ++figures_.merged;
+  std::vector<Result> results;
+  for (std::size_t i = static_cast<std::size_t>(held.second_from < kFirstOnly ? held.second_from : 0);
+       i < held.parts.size(); ++i)
+    if (held.parts[i].in) results.push_back({held.parts[i].shard, held.parts[i].value});
+  answer(query, 200, answer_body(whole, results));
+}
+
+void Router::reject(long long query, double stay_away) {
+  ++figures_.rejected;
+  answer(query, 503, "rejected", stay_away);
+}
+
+void Router::abort(long long query) {
+  ++figures_.aborted;
+  answer(query, 500, "aborted");
+}
+
+void Router::forget(long long query) {
+  held_.erase(query);
+}
+
+void Router::take_second_step(long long query, double at) {
+  if (!queries_.awaits_parts(query)) return;
+  auto& held = held_.at(query);
+  const auto chosen = queries_.second_step(query);
+  std::string from;
+  for (const auto& part : held.parts)
+    if (part.in) from += fmt::format("{}{}", from.empty() ? "" : "+", part.shard);
+  held.first_step = ",from=" + from + held.first_step;
+  held.second_from = static_cast<int>(held.parts.size());
+  held.bytes = 0;
+  for (auto& part : held.parts) part.value.clear();
+  for (const auto leaf : chosen) {
+    const auto shard = held.parts[static_cast<std::size_t>(leaf)].shard;
+    const auto weight = 1.0 / static_cast<double>(chosen.size());
+    queries_.take_part(query, {shard, weight, 0, 2, false, {}}, at);
+    held.parts.push_back({fmt::format("{}.{}.p2", held.id, shard), shard, false, {}});
+    ++open_;
+  }
+}
+
+// --- data nodes
+
+void Router::call_ended(const CallRef& ref, Outcome outcome, double score, std::string_view value) {
+  news_.push_back({ref, outcome, score, std::string(value)});
+  wake();
+}
+
+void Router::keep(Held& held, int leaf, std::string value) {
+  auto& part = held.parts[static_cast<std::size_t>(leaf)];
+  if (!held.open || part.in) return;
+  part.in = true;
+  held.bytes += value.size();
+  // Values that fit no answer together are not kept: the answer is then refused for its size.
+  if (held.bytes <= kLargestValues) part.value = std::move(value);
+}
+
+// --- discovery
+
+void Router::listed(const MemberList& list) {
+  std::vector<Host> hosts;
+  std::set<int> present;
+  std::size_t ready = 0;
+  for (const auto& member : list.members) {
+    if (!nodes_.contains(member.id) && nodes_.size() >= kMostNodes) {
+      log_.line("node_unknown", "id={} known={}", member.id, nodes_.size());
+      continue;
+    }
+    const auto node = nodes_.try_emplace(member.id, static_cast<int>(nodes_.size())).first->second;
+    const auto born = member.started > 0 ? member.started - unix_at_zero_ : 0;
+    hosts.push_back({node, look_up(zones_, member.zone), member.cell, member.up, born});
+    present.insert(node);
+    if (member.gone) {
+      pool_.leave(node);
+    } else {
+      pool_.locate(node, member.at);
+    }
+    if (member.up) ++ready;
+  }
+  if (list.full)
+    for (const auto& [id, node] : nodes_)
+      if (!present.contains(node)) pool_.leave(node);
+  queries_.list(hosts, list.full);
+  log_.line("list", "version={} full={} entries={} ready={}", list.version, list.full, list.members.size(),
+            ready);
+  if (phase_ == Phase::starting && ready > 0) enter(Phase::serving);
+  wake();
+}
+
+void Router::watch_lost() {
+  queries_.list_failed(now());
+}
+
+}  // namespace yoketurn
--- /dev/null
+++ b/src/router/router.hpp
@@ -0,0 +1,120 @@
+// The router: owns the connections and the queries in hand, and carries what is read from one to the other.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <limits>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "clients/listener.hpp"
+#include "datanodes/pool.hpp"
+#include "discovery/watch.hpp"
+#include "logging/log.hpp"
+#include "queries/queries.hpp"
+#include "router/config.hpp"
+
+namespace yoketurn {
+
+class Router : private Actions, private Pool::Listener, private Listener::Asker, private Watch::Listener {
+ public:
+  // starting: not yet a node to send to. serving. draining: told to stop; answers what comes until nothing
+  // new can, then what it holds. stopped: owes nothing.
+  enum class Phase { starting, serving, draining, stopped };
+
+  Router(boost::asio::io_context& context, const Config& config, Log& log);
+
+  void start();
+  void drain();
+  Phase phase() const { return phase_; }
+
+ private:
+  static constexpr int kFirstOnly = std::numeric_limits<int>::max();
+  struct Part {
+    std::string id;
+    int shard = 0;
+    bool in = false;
+    std::string value;
+  };
+  // What of a query only the connections need.
+  struct Held {
+    int client = 0;
+    bool open = true;  // its answer is owed
+    std::string id;
+    std::string key;
+    std::shared_ptr<const std::string> text;
+    std::vector<Part> parts;
+    int second_from = kFirstOnly;  // parts from here on are of the second step
+    std::string first_step;        // what these are told of the first
+    std::size_t bytes = 0;         // of the values
+  };
+  struct Figures {
+    long long taken = 0, merged = 0, rejected = 0, aborted = 0, left = 0, bad = 0;
+  };
+  struct News {
+    CallRef ref;
+    Outcome outcome;
+    double score;
+    std::string value;
+  };
+
+  void send(long long query, const Send& send, int call) override;
+  void cancel(long long query, const Cancel& cancel) override;
+  void merge(long long query, bool whole) override;
+  void reject(long long query, double stay_away) override;
+  void abort(long long query) override;
+  void forget(long long query) override;
+
+  void call_ended(const CallRef& ref, Outcome outcome, double score, std::string_view value) override;
+  void asked(int connection, const ClientConnection::Request& request) override;
+  void left(int connection) override;
+  void listed(const MemberList& list) override;
+  void watch_lost() override;
+
+  void take(int connection, Ask ask);
+  void take_second_step(long long query, double at);
+  void keep(Held& held, int leaf, std::string value);
+  void done_with(long long query);
+  void answer(long long query, int status, std::string_view body, double retry_after = 0);
+  void wake();
+  void turn();
+  void arm();
+  void tick();
+  void enter(Phase phase);
+  void wind_up(double at);
+  void tell_figures(double at);
+
+  boost::asio::io_context& context_;
+  Log& log_;
+  Config config_;
+  Asked asked_;
+  Names zones_;
+  double unix_at_zero_;
+  DueTimes due_;
+  Queries queries_;
+  Pool pool_;
+  yoketurn::Listener clients_;
+  Watch watch_;
+  boost::asio::steady_timer tick_timer_, due_timer_;
+  boost::asio::signal_set signals_;
+  Phase phase_ = Phase::starting;
+  double drained_at_ = 0;  // when nothing new can arrive any more
+  bool woken_ = false;
+  double next_tick_ = 0;
+  double armed_ = 0;
+  long long last_query_ = -1;
+  int open_ = 0;  // queries and parts in hand
+  std::unordered_map<long long, Held> held_;
+  std::unordered_map<int, long long> by_client_;
+  std::deque<News> news_;
+  std::vector<long long> merged_first_;
+  std::unordered_map<std::string, int> nodes_;
+  Figures figures_;
+  double figures_at_ = 0;
+};
+
+}  // namespace yoketurn
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -26,7 +26,7 @@
 // What the connections of a router need to know beside the module's settings.
 struct Bounds {
   int shards = 0;
-  int max_open = 0;         // queries and parts in hand
+  int max_open = 0;  // queries and parts in hand
   int parts_a_connection = 1;
   int parts_a_call = 1;
   double connect_timeout = 0;
--- a/src/wire/instance.cpp
+++ b/src/wire/instance.cpp
@@ -105,7 +105,7 @@
   }
 }
 
-void Instance::send(long long query, const Send& send) {
+void Instance::send(long long query, const Send& send, int) {
   say("place", ids_.at(query).leaves[static_cast<std::size_t>(send.leaf)], micros(send.timeout),
       node_ids_[static_cast<std::size_t>(send.node)]);
 }
--- a/src/wire/instance.hpp
+++ b/src/wire/instance.hpp
@@ -44,7 +44,7 @@
   template <class... Parts>
   void say(const char* verb, Parts... parts);
 
-  void send(long long query, const Send& send) override;
+  void send(long long query, const Send& send, int call) override;
   void cancel(long long query, const Cancel& cancel) override;
   void merge(long long query, bool whole) override;
   void reject(long long query, double stay_away) override;
@@ -60,7 +60,7 @@
   std::unordered_map<long long, Ids> ids_;                           // by query number
   std::unordered_map<long long, long long> asks_;                    // query id to its number
   std::unordered_map<long long, std::pair<long long, int>> leaves_;  // part id to query number and leaf
-  double wake_at_ = -1;  // the outstanding wake-up; below 0: none
+  double wake_at_ = -1;                                              // the outstanding wake-up; below 0: none
   bool tick_set_ = false;
   std::string said_;
 };
