A losing copy's outcome no longer overwrites the score that chooses the second step

The rejected queries are logged with parts and calls; a trace of the frames of one showed four parts of the second step answered and one answered 'failed' at three nodes at once: its shard had only the sixth highest score. The shard left out (fifth) had had a copy that lost. Ruled out: strain and a full table (the queries had been admitted; open 36 of 66), node trouble (other parts at the same nodes went well). At fault: Queries::outcome, which wrote the score of each outcome, the cancelled one's 0 over the answer's.

--- a/src/queries/queries.cpp
+++ b/src/queries/queries.cpp
@@ -37,12 +37,15 @@
   const auto at = held_.find(number);
   if (at == held_.end()) return;
   auto& held = *at->second;
-  auto& calls = held.query.leaves[static_cast<std::size_t>(leaf)].calls;
+  const auto index = static_cast<std::size_t>(leaf);
+  auto& calls = held.query.leaves[index].calls;
   if (call_number < 0 || static_cast<std::size_t>(call_number) >= calls.size()) return;
   auto& call = calls[static_cast<std::size_t>(call_number)];
   if (call.outcome != Outcome::pending) return;
   call.outcome = outcome;
-  held.scores[static_cast<std::size_t>(leaf)] = score;
+  // The score is that of the answer that counts: the outcome of a copy that lost would put a part of the
+  // second step at a shard without the highest score, where it fails at once.
+  if (outcome == Outcome::success && !held.query.leaves[index].in) held.scores[index] = score;
   --held.pending;
   perform(number, held, brain_.settle(held.query, leaf, call_number, now), now);
   touch(number, held);
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -1,5 +1,6 @@
 #include "router/router.hpp"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <cmath>
 #include <csignal>
@@ -191,6 +192,8 @@
   for (const auto& target : ask.targets) q.work += target.work;
   auto& held = held_[number];
   held.client = connection;
+  held.vertical = ask.vertical;
+  held.taken = at;
   held.text = std::make_shared<const std::string>(std::move(ask.text));
   held.key = std::move(ask.key);
   held.id = ask.id;
@@ -235,7 +238,8 @@
 // --- what the queries want
 
 void Router::send(long long query, const Send& send, int call) {
-  const auto& held = held_.at(query);
+  auto& held = held_.at(query);
+  ++held.calls;
   const auto leaf = static_cast<std::size_t>(send.leaf);
   const auto& part = held.parts[leaf];
   auto list = fmt::format("d={}", std::max(std::llround(send.timeout * 1e3), 1LL));
@@ -266,14 +270,25 @@
 
 void Router::reject(long long query, double stay_away) {
   ++figures_.rejected;
+  tell_of("rejected", query);
   answer(query, 503, "rejected", stay_away);
 }
 
 void Router::abort(long long query) {
   ++figures_.aborted;
+  tell_of("aborted", query);
   answer(query, 500, "aborted");
 }
 
+void Router::tell_of(std::string_view end, long long query) {
+  const auto& held = held_.at(query);
+  const auto in =
+      std::count_if(held.parts.begin(), held.parts.end(), [](const Part& part) { return part.in; });
+  log_.line(end, "query={} vertical={} age={:.3f} parts={} in={} calls={} open={}", held.id,
+            config_.verticals[static_cast<std::size_t>(held.vertical)], now() - held.taken, held.parts.size(),
+            in, held.calls, open_);
+}
+
 void Router::forget(long long query) {
   held_.erase(query);
 }
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -43,6 +43,9 @@
   // What of a query only the connections need.
   struct Held {
     int client = 0;
+    int vertical = 0;
+    double taken = 0;
+    int calls = 0;
     bool open = true;  // its answer is owed
     std::string id;
     std::string key;
@@ -87,6 +90,7 @@
   void enter(Phase phase);
   void wind_up(double at);
   void tell_figures(double at);
+  void tell_of(std::string_view end, long long query);
 
   boost::asio::io_context& context_;
   Log& log_;
