--- /dev/null
+++ b/examples/standin.hpp
@@ -0,0 +1,229 @@
+// Toy data nodes and a toy discovery on loopback, with which a router can be tried without the real ones. The
+// tests use them too, with what nodes answer replaced.
+#pragma once
+
+#include <fmt/format.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "buffers/ring.hpp"
+#include "datanodes/frames.hpp"
+
+namespace yoketurn::toy {
+
+using boost::asio::ip::tcp;
+
+// An accepted connection: hands over what comes in, writes what it is given in order.
+class Session : public std::enable_shared_from_this<Session> {
+ public:
+  explicit Session(tcp::socket socket) : socket_(std::move(socket)) {}
+
+  void start(std::function<void(Session&)> on_bytes) {
+    on_bytes_ = std::move(on_bytes);
+    read();
+  }
+  void say(std::string_view bytes) {
+    to_write_ += bytes;
+    write();
+  }
+  void close() {
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+  }
+
+  Ring in{2 * kLargestFrame};
+
+ private:
+  void read() {
+    socket_.async_read_some(in.space(), [self = shared_from_this()](const auto& error, auto count) {
+      if (error) return self->close();
+      self->in.commit(count);
+      self->on_bytes_(*self);
+      self->read();
+    });
+  }
+  void write() {
+    if (!writing_.empty() || to_write_.empty()) return;
+    writing_.swap(to_write_);
+    boost::asio::async_write(socket_, boost::asio::buffer(writing_),
+                             [self = shared_from_this()](const auto& error, auto) {
+                               self->writing_.clear();
+                               if (!error) self->write();
+                             });
+  }
+
+  tcp::socket socket_;
+  std::function<void(Session&)> on_bytes_;
+  std::string writing_, to_write_;
+};
+
+class Server {
+ public:
+  explicit Server(boost::asio::io_context& context, unsigned short port = 0)
+      : acceptor_(context, {boost::asio::ip::address_v4::loopback(), port}) {
+    accept();
+  }
+  virtual ~Server() { stop(); }
+  tcp::endpoint at() const { return acceptor_.local_endpoint(); }
+  void break_off() {  // ends all connections; new ones may come
+    for (const auto& session : sessions_)
+      if (const auto held = session.lock()) held->close();
+    sessions_.clear();
+  }
+  void stop() {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    break_off();
+  }
+  int accepted() const { return accepted_; }
+
+ protected:
+  virtual void came(Session& session) = 0;
+  std::vector<std::weak_ptr<Session>> sessions_;
+
+ private:
+  void accept() {
+    acceptor_.async_accept([this](const auto& error, tcp::socket socket) {
+      if (error) return;
+      ++accepted_;
+      const auto session = std::make_shared<Session>(std::move(socket));
+      sessions_.push_back(session);
+      session->start([this](Session& from) { came(from); });
+      accept();
+    });
+  }
+  tcp::acceptor acceptor_;
+  int accepted_ = 0;
+};
+
+class DataNode : public Server {
+ public:
+  struct Part {
+    std::string id;
+    int shard = 0;
+    std::string list;
+    std::string text;
+  };
+
+  using Server::Server;
+  ~DataNode() override { stop(); }
+
+  // What a part gets; by default its value is what was asked and where.
+  std::function<void(const Part& part, Session& from)> on_part = [](const Part& part, Session& from) {
+    answer(from, part, "done", 1000 + part.shard, fmt::format("{}@{}", part.text, part.shard));
+  };
+  static void answer(Session& to, const Part& part, std::string_view end, int score, std::string_view value) {
+    to.say(frame('R', fmt::format("{} {} {} -\n{}", part.id, end, score, value)));
+  }
+
+  std::vector<Part> parts;
+  std::vector<std::string> given_up;
+
+ protected:
+  void came(Session& session) override {
+    for (Frame frame; take_frame(session.in, frame) == FrameState::whole;) {
+      if (frame.letter == 'C') given_up.push_back(frame.rest);
+      if (frame.letter != 'S') continue;
+      for (std::string_view rest = frame.rest; !rest.empty();) {
+        Part part;
+        std::size_t length = 0;
+        part.id = word(rest, ' ');
+        part.shard = number<int>(word(rest, ' '));
+        part.list = word(rest, ' ');
+        length = number<std::size_t>(word(rest, '\n'));
+        part.text = rest.substr(0, length);
+        rest.remove_prefix(std::min(length, rest.size()));
+        parts.push_back(part);
+        on_part(part, session);
+      }
+    }
+  }
+
+ private:
+  static std::string word(std::string_view& rest, char end) {
+    const auto length = std::min(rest.find(end), rest.size());
+    const std::string result(rest.substr(0, length));
+    rest.remove_prefix(std::min(length + 1, rest.size()));
+    return result;
+  }
+  template <class Number>
+  static Number number(const std::string& text) {
+    Number value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+  }
+};
+
+// An agent that answers a watch with what it has been given to tell.
+class Discovery : public Server {
+ public:
+  using Server::Server;
+  ~Discovery() override { stop(); }
+
+  static std::string entry(const std::string& id, const tcp::endpoint& at, int cell,
+                           std::string_view state = "ready") {
+    return fmt::format(
+        R"({{"id":"{}","addr":"{}:{}","zone":"a","kind":"m","cell":{},"state":"{}","weight":1.0,"started_ms":0}})",
+        id, at.address().to_string(), at.port(), cell, state);
+  }
+  static std::string list(int version, bool full, const std::vector<std::string>& entries) {
+    return fmt::format(R"({{"version":{},"full":{},"servers":[{}]}})", version, full, fmt::join(entries, ","));
+  }
+
+  void tell(const std::string& line) {
+    for (const auto& watcher : watchers_)
+      if (const auto held = watcher.lock()) held->say(chunk(line));
+  }
+
+  std::string whole;                   // the list each watch begins with
+  std::vector<std::string> asked;      // the first lines of the requests
+
+ protected:
+  void came(Session& session) override {
+    std::string head(session.in.size(), ' ');
+    session.in.peek(0, head.data(), head.size());
+    const auto end = head.find("\r\n\r\n");
+    if (end == std::string::npos) return;
+    session.in.consume(end + 4);
+    asked.push_back(head.substr(0, head.find("\r\n")));
+    watchers_.push_back(session.weak_from_this());
+    session.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(whole));
+  }
+
+ private:
+  static std::string chunk(const std::string& line) { return fmt::format("{:x}\r\n{}\n\r\n", line.size() + 1, line); }
+  std::vector<std::weak_ptr<Session>> watchers_;
+};
+
+// A configuration with one repeatable, one deduplicated, one two-step vertical; shards are held by all nodes.
+inline std::string config(const tcp::endpoint& listen, const tcp::endpoint& discovery, int cells,
+                          const std::string& known, int sockets = 1024, int max_open = 200) {
+  const auto vertical = [](const char* name, const char* semantics) {
+    return fmt::format(R"({{"name":"{}","semantics":"{}","aim_us":1000000,"deadline_us":4000000,"credit":1.0,)"
+                       R"("late_worth":0.5,"key_scope":"all","streaming":false,"window_us":2000000}})",
+                       name, semantics);
+  };
+  return fmt::format(
+      R"({{"name":"n0","listen":"{}:{}","discovery":"{}:{}","seed":"8c1f30d27a5be964",)"
+      R"("limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},"known":{},"settings":{{)"
+      R"("balancers":1,"resolution_us":1000,"zone":"a","zones":["a"],"worth_by":"request","discovery":"push",)"
+      R"("bounds":{{"cancel":true,"max_attempts":3,"may_duplicate":true,"retry_after":true,)"
+      R"("max_retry_after_us":500000,"max_open":{},"streams_per_conn":100,"connect_timeout_us":250000,)"
+      R"("conn_idle_us":15000000}},"classes":[{},{},{}],"customers":[],)"
+      R"("contract":{{"cold_us":9000000,"fall_multiple":2.0,"overload_for_us":1000000,"start_capacity":0.3}},)"
+      R"("domain":{{"places":{},"span":{},"slices":8,"parts_a_call":1,"min_share":[1.0,1.0,1.0],)"
+      R"("whole_at":[1.0,1.0,1.0],"partial_earns":[1.0,1.0,1.0],"second_step":[0,0,2]}}}}}})",
+      listen.address().to_string(), listen.port(), discovery.address().to_string(), discovery.port(), sockets,
+      known, max_open, vertical("look", "safe"), vertical("change", "keyed"), vertical("report", "safe"), cells,
+      cells);
+}
+
+}  // namespace yoketurn::toy
