Tests of the whole router against toy nodes and discovery; faults they found mended

Found by the tests, each fails without its fix: - A listener at its bound closed the newest connection, as it looked idle while its request lay unread; clients that came to a crowd of half-sent requests were never answered. Now one that has been answered goes first, then the oldest. - Making room in accept() could start a second accept. - The router's tables ended before the connections that tell of what they hold (address sanitizer, at the end of the process). Added with tests: Expect: 100-continue; a connection on which a call was given up with nothing heard takes no new calls; a node that restarts or moves is reached by new connections; the ring holds no call that the socket has not room for, so none goes out after its query. Nothing that a handler throws ends the process: it is logged as a fault.

--- a/examples/standin.hpp
+++ b/examples/standin.hpp
@@ -175,7 +175,8 @@
         id, at.address().to_string(), at.port(), cell, state);
   }
   static std::string list(int version, bool full, const std::vector<std::string>& entries) {
-    return fmt::format(R"({{"version":{},"full":{},"servers":[{}]}})", version, full, fmt::join(entries, ","));
+    return fmt::format(R"({{"version":{},"full":{},"servers":[{}]}})", version, full,
+                       fmt::join(entries, ","));
   }
 
   void tell(const std::string& line) {
@@ -183,8 +184,8 @@
       if (const auto held = watcher.lock()) held->say(chunk(line));
   }
 
-  std::string whole;                   // the list each watch begins with
-  std::vector<std::string> asked;      // the first lines of the requests
+  std::string whole;               // the list each watch begins with
+  std::vector<std::string> asked;  // the first lines of the requests
 
  protected:
   void came(Session& session) override {
@@ -199,7 +200,9 @@
   }
 
  private:
-  static std::string chunk(const std::string& line) { return fmt::format("{:x}\r\n{}\n\r\n", line.size() + 1, line); }
+  static std::string chunk(const std::string& line) {
+    return fmt::format("{:x}\r\n{}\n\r\n", line.size() + 1, line);
+  }
   std::vector<std::weak_ptr<Session>> watchers_;
 };
 
@@ -207,9 +210,10 @@
 inline std::string config(const tcp::endpoint& listen, const tcp::endpoint& discovery, int cells,
                           const std::string& known, int sockets = 1024, int max_open = 200) {
   const auto vertical = [](const char* name, const char* semantics) {
-    return fmt::format(R"({{"name":"{}","semantics":"{}","aim_us":1000000,"deadline_us":4000000,"credit":1.0,)"
-                       R"("late_worth":0.5,"key_scope":"all","streaming":false,"window_us":2000000}})",
-                       name, semantics);
+    return fmt::format(
+        R"({{"name":"{}","semantics":"{}","aim_us":1000000,"deadline_us":4000000,"credit":1.0,)"
+        R"("late_worth":0.5,"key_scope":"all","streaming":false,"window_us":2000000}})",
+        name, semantics);
   };
   return fmt::format(
       R"({{"name":"n0","listen":"{}:{}","discovery":"{}:{}","seed":"8c1f30d27a5be964",)"
@@ -222,8 +226,8 @@
       R"("domain":{{"places":{},"span":{},"slices":8,"parts_a_call":1,"min_share":[1.0,1.0,1.0],)"
       R"("whole_at":[1.0,1.0,1.0],"partial_earns":[1.0,1.0,1.0],"second_step":[0,0,2]}}}}}})",
       listen.address().to_string(), listen.port(), discovery.address().to_string(), discovery.port(), sockets,
-      known, max_open, vertical("look", "safe"), vertical("change", "keyed"), vertical("report", "safe"), cells,
-      cells);
+      known, max_open, vertical("look", "safe"), vertical("change", "keyed"), vertical("report", "safe"),
+      cells, cells);
 }
 
 }  // namespace yoketurn::toy
--- a/src/clients/connection.cpp
+++ b/src/clients/connection.cpp
@@ -37,10 +37,7 @@
   socket_.async_read_some(in_.space(), [self = shared_from_this()](const auto& error, auto count) {
     self->reading_ = false;
     if (self->state_ == State::closed) return;
-    if (error) {
-      if (self->state_ == State::asked) self->owner_.left(*self);
-      return self->close();
-    }
+    if (error) return self->lost();
     self->in_.commit(count);
     self->take();
     self->read();
@@ -70,6 +67,12 @@
     // Two readers that take a request's length from different headers disagree on where the next one begins.
     if (parser_->is_header_done() && parser_->get().count(http::field::content_length) > 1)
       return fail(400, "two lengths");
+    if (parser_->is_header_done() && !parser_->is_done() && !continued_ &&
+        boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+      continued_ = true;
+      out_.put("HTTP/1.1 100 Continue\r\n\r\n");
+      write();
+    }
     if (!parser_->is_done()) {
       if (used > 0) continue;
       if (in_.free() == 0) fail(431, "header too large");
@@ -98,19 +101,23 @@
 }
 
 void ClientConnection::write() {
+  if (writing_) return;
+  writing_ = true;
   socket_.async_write_some(out_.data(), [self = shared_from_this()](const auto& error, auto count) {
-    if (self->state_ != State::answering) return;
-    if (error) return self->close();
+    self->writing_ = false;
+    if (self->state_ == State::closed) return;
+    if (error) return self->lost();
     self->out_.consume(count);
     if (self->out_.size() > 0) return self->write();
-    self->written();
+    if (self->state_ == State::answering) self->written();
   });
 }
 
 void ClientConnection::written() {
   out_.release();
   parser_.reset();
-  begun_ = false;
+  begun_ = continued_ = false;
+  served_ = true;
   since_ = now();
   if (keep_alive_) {
     state_ = State::reading;
@@ -128,6 +135,11 @@
   read();
 }
 
+void ClientConnection::lost() {
+  if (state_ == State::asked) owner_.left(*this);
+  close();
+}
+
 void ClientConnection::close() {
   if (state_ == State::closed) return;
   state_ = State::closed;
--- a/src/clients/connection.hpp
+++ b/src/clients/connection.hpp
@@ -36,6 +36,7 @@
   bool idle() const { return state_ == State::reading && !begun_; }
   bool half_read() const { return state_ == State::reading && begun_; }
   bool asked() const { return state_ == State::asked; }
+  bool served() const { return served_; }  // has had an answer
   double since() const { return since_; }
   int id() const { return id_; }
 
@@ -47,6 +48,7 @@
   void fail(int status, std::string_view why);
   void write();
   void written();
+  void lost();
 
   boost::asio::ip::tcp::socket socket_;
   DueTimes& due_;
@@ -56,9 +58,11 @@
   State state_ = State::reading;
   bool begun_ = false;
   bool keep_alive_ = true;
+  bool served_ = false;
   bool reading_ = false;
   bool writing_ = false;
-  double since_ = 0;  // when it came to be between two requests
+  bool continued_ = false;  // a client that asked whether to send its body has been told to
+  double since_ = 0;        // when it came to be between two requests
   Ring in_, out_;
   std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
 };
--- a/src/clients/listener.cpp
+++ b/src/clients/listener.cpp
@@ -41,6 +41,7 @@
 void Listener::accept() {
   if (accepting_ || !acceptor_.is_open()) return;
   if (connections_.size() >= most_connections_ && !make_room()) return;
+  if (accepting_) return;  // the room made has been used already
   accepting_ = true;
   acceptor_.async_accept([this](const auto& error, asio::ip::tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
@@ -63,9 +64,12 @@
   std::shared_ptr<ClientConnection> oldest;
   for (const auto& [id, connection] : connections_) {
     if (!connection->idle() && !connection->half_read()) continue;
-    if (!oldest || std::pair(oldest->half_read(), oldest->since()) >
-                       std::pair(connection->half_read(), connection->since()))
-      oldest = connection;
+    // One that has been answered goes first: a fresh one most likely holds a request that has not been read
+    // yet.
+    const auto rank = [](const ClientConnection& c) {
+      return std::pair(!(c.idle() && c.served()), c.since());
+    };
+    if (!oldest || rank(*connection) < rank(*oldest)) oldest = connection;
   }
   if (!oldest) return false;
   log_.line("client_room", "connections={}", connections_.size());
--- a/src/datanodes/connection.cpp
+++ b/src/datanodes/connection.cpp
@@ -33,7 +33,7 @@
   boost::system::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   state_ = State::open;
-  last_used_ = now();
+  last_used_ = last_heard_ = now();
   read();
   pump();
   settle();
@@ -64,7 +64,7 @@
 }
 
 void NodeConnection::send(std::vector<OutgoingPart> parts, double now) {
-  for (const auto& part : parts) out_[part.id] = {part.ref, false};
+  for (const auto& part : parts) out_[part.id] = {part.ref, now, false};
   waiting_.push_back(std::move(parts));
   last_used_ = now;
   if (state_ == State::open) due_.drop(due_key_);
@@ -72,7 +72,9 @@
 }
 
 void NodeConnection::pump() {
-  if (state_ != State::open) return;
+  // What stands in the ring will go out whatever becomes of its query: it is filled only as far as the socket
+  // takes it at once, so that nothing is left there when the query ends.
+  if (state_ != State::open || writing_) return;
   while (!waiting_.empty()) {
     std::vector<PartText> texts;
     std::vector<std::string> ids;
@@ -113,7 +115,7 @@
     if (self->state_ != State::open) return;
     if (error) return self->close(error.message());
     self->in_.commit(count);
-    self->last_used_ = now();
+    self->last_used_ = self->last_heard_ = now();
     Frame frame;
     for (;;) {
       const auto state = take_frame(self->in_, frame);
@@ -144,8 +146,14 @@
   return true;
 }
 
-void NodeConnection::give_up(const std::string& id) {
-  if (out_.erase(id) == 0) return;
+void NodeConnection::give_up(const std::string& id, double now) {
+  const auto call = out_.find(id);
+  if (call == out_.end()) return;
+  // Where the other machine has vanished its connections stay open and silent, and swallow each new call for
+  // as long as the module waits. A new connection comes up or tells soon that it won't.
+  const auto silent = last_heard_ < call->second.sent && now - call->second.sent > limits_.connect_timeout;
+  retired_ = retired_ || silent;
+  out_.erase(call);
   given_up_.insert(id);
   const auto frame = give_up_frame(id);
   if (state_ == State::open && outgoing_.put(frame)) queued_ += frame.size();
--- a/src/datanodes/connection.hpp
+++ b/src/datanodes/connection.hpp
@@ -54,7 +54,7 @@
   bool takes(std::span<const OutgoingPart> parts, double now) const;
   void send(std::vector<OutgoingPart> parts, double now);
   // The call is told of no more. Answers to it that still come are dropped.
-  void give_up(const std::string& id);
+  void give_up(const std::string& id, double now);
   bool unsend(const std::string& id);  // whether no byte of it has gone; it never will then
   void retire();                       // nothing new; closed once no call is out
   void close(std::string_view why);
@@ -67,6 +67,7 @@
   enum class State { fresh, connecting, open, closed };
   struct Call {
     CallRef ref;
+    double sent = 0;
     bool written = false;  // to the last byte of its frame
   };
   struct Written {
@@ -92,6 +93,7 @@
   bool retired_ = false;
   bool writing_ = false;
   double last_used_ = 0;
+  double last_heard_ = 0;
   Ring in_, outgoing_;
   std::deque<std::vector<OutgoingPart>> waiting_;  // calls of which no byte has gone
   std::deque<Written> in_ring_;                    // frames of calls in the ring, in order
--- a/src/datanodes/frames.cpp
+++ b/src/datanodes/frames.cpp
@@ -11,6 +11,15 @@
 
 constexpr std::size_t kLengthBytes = 4;
 
+std::string_view word(std::string_view& line) {
+  const auto end = std::min(line.find(' '), line.size());
+  const auto result = line.substr(0, end);
+  line.remove_prefix(std::min(end + 1, line.size()));
+  return result;
+}
+
+}  // namespace
+
 std::string frame(char letter, std::string_view rest) {
   const auto length = rest.size() + 1;
   std::string result;
@@ -21,15 +30,6 @@
   return result;
 }
 
-std::string_view word(std::string_view& line) {
-  const auto end = std::min(line.find(' '), line.size());
-  const auto result = line.substr(0, end);
-  line.remove_prefix(std::min(end + 1, line.size()));
-  return result;
-}
-
-}  // namespace
-
 std::string call_frame(std::span<const PartText> parts) {
   std::string rest;
   for (const auto& part : parts) {
--- a/src/datanodes/frames.hpp
+++ b/src/datanodes/frames.hpp
@@ -22,6 +22,7 @@
   std::string_view text;
 };
 
+std::string frame(char letter, std::string_view rest);
 std::string call_frame(std::span<const PartText> parts);
 std::string give_up_frame(std::string_view id);
 
--- a/src/datanodes/pool.cpp
+++ b/src/datanodes/pool.cpp
@@ -20,12 +20,13 @@
     for (const auto& connection : std::vector(node.connections)) connection->close("stopped");
 }
 
-void Pool::locate(int node, const boost::asio::ip::tcp::endpoint& at) {
+void Pool::locate(int node, const boost::asio::ip::tcp::endpoint& at, double born) {
   if (nodes_.size() <= static_cast<std::size_t>(node)) nodes_.resize(static_cast<std::size_t>(node) + 1);
   auto& known = nodes_[static_cast<std::size_t>(node)];
-  if (known.at == at) return;
+  if (known.at == at && known.born == born) return;
   known.at = at;
-  for (const auto& connection : std::vector(known.connections)) connection->retire();
+  known.born = born;
+  leave(node);  // what is open leads to a process that is no more
 }
 
 void Pool::leave(int node) {
@@ -89,7 +90,7 @@
   if (at == out_.end()) return;
   const auto connection = at->second.connection.lock();
   if (connection && !connection->unsend(at->second.id)) {
-    connection->give_up(at->second.id);
+    connection->give_up(at->second.id, now());
   } else {
     outcome = outcome == Outcome::timed_out ? Outcome::unreachable : Outcome::unsent;
   }
--- a/src/datanodes/pool.hpp
+++ b/src/datanodes/pool.hpp
@@ -25,8 +25,8 @@
        std::size_t most_connections, Log& log, Listener& listener);
   ~Pool();
 
-  void locate(int node, const boost::asio::ip::tcp::endpoint& at);
-  void leave(int node);  // idle connections are closed
+  void locate(int node, const boost::asio::ip::tcp::endpoint& at, double born);
+  void leave(int node);  // its connections are closed once no call is out on them
   // Parts of one group that are given in one turn travel as one call.
   void send(int node, int group, OutgoingPart part, double timeout);
   void flush();
@@ -37,6 +37,7 @@
  private:
   struct Node {
     boost::asio::ip::tcp::endpoint at;
+    double born = 0;
     std::vector<std::shared_ptr<NodeConnection>> connections;
   };
   struct Out {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,7 +14,15 @@
     boost::asio::io_context context(1);
     yoketurn::Router router(context, config, log);
     router.start();
-    context.run();
+    // Nothing that comes over a socket ends the process: what nobody has foreseen is told, and the rest goes
+    // on.
+    while (!context.stopped()) {
+      try {
+        context.run();
+      } catch (const std::exception& error) {
+        log.line("fault", "why=\"{}\"", error.what());
+      }
+    }
     return 0;
   } catch (const std::exception& error) {
     log.line("start_failed", "why=\"{}\"", error.what());
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -347,7 +347,7 @@
     if (member.gone) {
       pool_.leave(node);
     } else {
-      pool_.locate(node, member.at);
+      pool_.locate(node, member.at, born);
     }
     if (member.up) ++ready;
   }
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -31,6 +31,7 @@
   void start();
   void drain();
   Phase phase() const { return phase_; }
+  boost::asio::ip::tcp::endpoint at() const { return clients_.at(); }
 
  private:
   static constexpr int kFirstOnly = std::numeric_limits<int>::max();
@@ -98,13 +99,6 @@
   Asked asked_;
   Names zones_;
   double unix_at_zero_;
-  DueTimes due_;
-  Queries queries_;
-  Pool pool_;
-  yoketurn::Listener clients_;
-  Watch watch_;
-  boost::asio::steady_timer tick_timer_, due_timer_;
-  boost::asio::signal_set signals_;
   Phase phase_ = Phase::starting;
   double drained_at_ = 0;  // when nothing new can arrive any more
   bool woken_ = false;
@@ -119,6 +113,15 @@
   std::unordered_map<std::string, int> nodes_;
   Figures figures_;
   double figures_at_ = 0;
+
+  // These tell of what they hold when they end, so all that is told of outlives them.
+  DueTimes due_;
+  Queries queries_;
+  Pool pool_;
+  yoketurn::Listener clients_;
+  Watch watch_;
+  boost::asio::steady_timer tick_timer_, due_timer_;
+  boost::asio::signal_set signals_;
 };
 
 }  // namespace yoketurn
--- /dev/null
+++ b/tests/network_test.cpp
@@ -0,0 +1,177 @@
+#include <doctest/doctest.h>
+
+#include "buffers/ring.hpp"
+#include "clients/bodies.hpp"
+#include "datanodes/frames.hpp"
+#include "discovery/list.hpp"
+#include "examples/standin.hpp"
+#include "router/config.hpp"
+
+using namespace yoketurn;
+
+namespace {
+
+std::string read_all(Ring& ring) {
+  std::string text(ring.size(), ' ');
+  ring.peek(0, text.data(), text.size());
+  ring.consume(text.size());
+  return text;
+}
+
+std::string valid_config() {
+  const auto at = toy::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 1);
+  return toy::config(at, at, 3, toy::Discovery::list(4, true, {toy::Discovery::entry("s-1", at, 0)}));
+}
+
+}  // namespace
+
+TEST_SUITE_BEGIN("network");
+
+TEST_CASE("the ring keeps order at every place of its wrap, and its bound") {
+  for (std::size_t start = 0; start < 8; ++start) {
+    Ring ring(8);
+    CHECK(ring.put(std::string(start, '.')));
+    CHECK(ring.put("a"));
+    ring.consume(start);  // what is left begins at every place of the ring in turn
+    CHECK(ring.put("bcdefgh"));
+    CHECK(!ring.put("i"));
+    CHECK(ring.free() == 0);
+    const auto spans = ring.data();
+    CHECK(spans[0].size() + spans[1].size() == 8);
+    CHECK(read_all(ring) == "abcdefgh");
+    ring.release();
+    CHECK(ring.put("again"));
+    CHECK(read_all(ring) == "again");
+  }
+}
+
+TEST_CASE("frames are whole wherever they are cut, and unusable ones are told") {
+  const auto both = frame('R', "a.1 done 7 -\nv") + frame('F', "");
+  for (std::size_t cut = 0; cut <= both.size(); ++cut) {
+    Ring ring(kLargestFrame);
+    std::string seen;
+    Frame got;
+    for (const auto& piece : {both.substr(0, cut), both.substr(cut)}) {
+      ring.put(piece);
+      while (take_frame(ring, got) == FrameState::whole) seen += got.letter + got.rest + "|";
+    }
+    CHECK(seen == "Ra.1 done 7 -\nv|F|");
+  }
+  for (const auto& head : {std::string("\0\0\0\0", 4), std::string("\x7f\0\0\1", 4)}) {
+    Ring ring(kLargestFrame);
+    Frame got;
+    ring.put(head);
+    CHECK(take_frame(ring, got) == FrameState::broken);
+  }
+}
+
+TEST_CASE("a call's frame holds each part's line and text") {
+  const PartText parts[] = {{"9b.3", 3, "d=240,k=5c", "c41e77d0"}, {"9b.4", 4, "d=240", "x\ny"}};
+  const auto rest = std::string("9b.3 3 d=240,k=5c 8\nc41e77d09b.4 4 d=240 3\nx\ny");
+  CHECK(call_frame(parts) == std::string("\0\0\0\x2fS", 5) + rest);
+}
+
+TEST_CASE("answers of nodes") {
+  struct Row {
+    const char* rest;
+    bool usable;
+    Outcome outcome;
+    double score;
+    const char* value;
+  };
+  const Row rows[] = {
+      {"9b.3 done 1840277719 inflight=7\nvalue", true, Outcome::success, 1840277719, "value"},
+      {"9b.3 done - -\n", true, Outcome::success, 0, ""},
+      {"9b.3 failed 0 -\n", true, Outcome::failure, 0, ""},
+      {"9b.3 full 0 -\n", true, Outcome::overloaded, 0, ""},
+      {"9b.3 splendid 0 -\n", false, Outcome::failure, 0, ""},
+      {"9b.3 done x -\n", false, Outcome::failure, 0, ""},
+      {"9b.3 done inf -\n", false, Outcome::failure, 0, ""},
+      {"9b.3 done", false, Outcome::failure, 0, ""},
+      {"\n", false, Outcome::failure, 0, ""},
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.rest);
+    const auto answer = read_answer(row.rest);
+    REQUIRE(answer.has_value() == row.usable);
+    if (!answer) continue;
+    CHECK(answer->id == "9b.3");
+    CHECK(answer->outcome == row.outcome);
+    CHECK(answer->score == row.score);
+    CHECK(answer->value == row.value);
+  }
+}
+
+TEST_CASE("lists that make no sense are told, and what is unknown in one is left out of account") {
+  const auto at = toy::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 8081);
+  const auto good = toy::Discovery::list(41, false, {toy::Discovery::entry("s-1", at, 3, "draining")});
+  const auto list = read_list(good);
+  CHECK(list.version == 41);
+  CHECK(!list.full);
+  REQUIRE(list.members.size() == 1);
+  CHECK(list.members[0].at == at);
+  CHECK(list.members[0].cell == 3);
+  CHECK(!list.members[0].up);
+  CHECK(!list.members[0].gone);
+  const std::pair<const char*, const char*> wrong[] = {
+      {"draining", "asleep"},
+      {"127.0.0.1:8081", "nowhere"},
+      {"127.0.0.1:8081", "127.0.0.1:99999"},
+      {"\"cell\":3", "\"cell\":-3"},
+      {"\"cell\":3", "\"cel\":3"},
+      {"\"id\":\"s-1\"", "\"id\":7"},
+      {"41", "\"x\""},
+      {"false", "1"},
+      {"[{", "[7,{"},
+      {"{\"version\"", "{{\"version\""},
+  };
+  for (const auto& [from, to] : wrong) {
+    CAPTURE(to);
+    auto bad = good;
+    bad.replace(bad.find(from), std::string(from).size(), to);
+    CHECK_THROWS_AS(read_list(bad), Malformed);
+  }
+}
+
+TEST_CASE("settings as nested JSON read as the wire's pairs do") {
+  const auto config = read_config(valid_config());
+  CHECK(config.seed == 0x8c1f30d27a5be964);
+  CHECK(config.known.version == 4);
+  REQUIRE(config.settings.verticals.size() == 3);
+  CHECK(config.settings.verticals[1].effect == Effect::deduplicated);
+  CHECK(config.settings.verticals[1].window == 2);
+  CHECK(config.settings.verticals[2].second_step == 2);
+  CHECK(config.settings.zone == 0);
+  CHECK(config.settings.customers.empty());
+  CHECK(config.settings.max_stay_away == 0.5);
+  CHECK(config.bounds.idle_timeout == 15);
+  CHECK(config.bounds.max_open == 200);
+  const auto wire = pairs("a=1 classes.count=1 classes.0.name=look");
+  CHECK(names(wire, "classes") == std::vector<std::string>{"look"});
+}
+
+TEST_CASE("a configuration that is missing or broken is told") {
+  CHECK_THROWS_AS(load_config("/nonexistent/config.json"), Malformed);
+  const std::pair<const char*, const char*> wrong[] = {
+      {"{", "["},
+      {"\"seed\":\"8c", "\"seed\":\"zz"},
+      {"\"listen\":\"127.0.0.1:1\"", "\"listen\":\"127.0.0.1\""},
+      {"\"sockets\":1024", "\"sockets\":3"},
+      {"\"streams_per_conn\":100", "\"streams_per_conn\":0"},
+      {"\"slices\":8", "\"slices\":\"many\""},
+      {"\"known\":{\"version\":4", "\"known\":{\"version\":[]"},
+      {"\"settings\"", "\"setting\""},
+  };
+  for (const auto& [from, to] : wrong) {
+    CAPTURE(to);
+    auto bad = valid_config();
+    bad.replace(bad.find(from), std::string(from).size(), to);
+    CHECK_THROWS_AS(read_config(bad), Malformed);
+  }
+}
+
+TEST_CASE("values are passed on as the nodes gave them") {
+  const auto body = answer_body(false, {{3, "5be2\"\\\n"}, {9, ""}});
+  CHECK(body ==
+        R"({"whole":false,"results":[{"partition":3,"value":"5be2\"\\\n"},{"partition":9,"value":""}]})");
+}
--- /dev/null
+++ b/tests/router_test.cpp
@@ -0,0 +1,482 @@
+// The whole router in one process with toy nodes and a toy discovery, over loopback sockets.
+#include "router/router.hpp"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+
+#include "examples/standin.hpp"
+#include "queries/clock.hpp"
+
+using namespace yoketurn;
+using toy::DataNode;
+using toy::tcp;
+
+namespace {
+
+const auto kAnyPort = tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0);
+
+struct Town {
+  explicit Town(int many = 3, int sockets = 1024, int max_open = 200) {
+    for (int i = 0; i < many; ++i) nodes.push_back(std::make_unique<DataNode>(context));
+    discovery.whole = list(1, true);
+    const auto config =
+        read_config(toy::config(kAnyPort, discovery.at(), many, discovery.whole, sockets, max_open));
+    router = std::make_unique<Router>(context, config, log);
+    router->start();
+    REQUIRE(until([&] { return !discovery.asked.empty(); }));
+  }
+  ~Town() {
+    router.reset();
+    std::fclose(file);
+    std::free(text);
+  }
+  std::string list(int version, bool full) const {
+    std::vector<std::string> entries;
+    for (std::size_t i = 0; i < nodes.size(); ++i)
+      entries.push_back(toy::Discovery::entry("s-" + std::to_string(i), nodes[i]->at(), static_cast<int>(i)));
+    return toy::Discovery::list(version, full, entries);
+  }
+  // Lets things happen until it holds; the limit only ends a test that fails.
+  bool until(const std::function<bool()>& holds, double limit = 10) {
+    for (const auto end = now() + limit; !holds();) {
+      if (now() > end) return false;
+      context.restart();
+      context.run_one_for(std::chrono::milliseconds(20));
+    }
+    return true;
+  }
+  std::size_t parts() const {
+    std::size_t sum = 0;
+    for (const auto& node : nodes) sum += node->parts.size();
+    return sum;
+  }
+  bool logged(std::string_view what) {
+    std::fflush(file);
+    return std::string_view(text, size).find(what) != std::string_view::npos;
+  }
+  template <class Act>
+  void each_node(Act act) {
+    for (const auto& node : nodes) node->on_part = act;
+  }
+
+  boost::asio::io_context context;
+  std::vector<std::unique_ptr<DataNode>> nodes;
+  toy::Discovery discovery{context};
+  char* text = nullptr;
+  std::size_t size = 0;
+  std::FILE* file = open_memstream(&text, &size);
+  Log log{file};
+  std::unique_ptr<Router> router;
+};
+
+struct Client {
+  explicit Client(Town& to) : town(to), socket(to.context) {
+    socket.connect(to.router->at());
+    read();
+  }
+  void say(std::string_view bytes) { boost::asio::write(socket, boost::asio::buffer(bytes)); }
+  // The status of the next answer; its body stands in `body`.
+  int answer() {
+    std::size_t head = 0, length = 0;
+    const auto whole = [&] {
+      head = got.find("\r\n\r\n");
+      if (head == std::string::npos) return false;
+      length = static_cast<std::size_t>(std::stoul(got.substr(got.find("Content-Length: ") + 16)));
+      return got.size() >= head + 4 + length;
+    };
+    if (!town.until(whole)) return 0;
+    const auto status = std::stoi(got.substr(9));
+    last = got.substr(0, head);
+    body = got.substr(head + 4, length);
+    got.erase(0, head + 4 + length);
+    return status;
+  }
+  bool ended() {
+    return town.until([&] { return closed; });
+  }
+
+  Town& town;
+  tcp::socket socket;
+  std::string got, last, body;
+  bool closed = false;
+
+ private:
+  void read() {
+    socket.async_read_some(boost::asio::buffer(buffer), [this](const auto& error, auto count) {
+      if (error == boost::asio::error::operation_aborted) return;
+      if (error) {
+        closed = true;
+        return;
+      }
+      got.append(buffer, count);
+      read();
+    });
+  }
+  char buffer[4096];
+};
+
+std::string targets(const std::vector<int>& shards) {
+  std::vector<std::string> list;
+  for (const auto shard : shards)
+    list.push_back(
+        fmt::format(R"({{"partition":{},"share":{}}})", shard, 1.0 / static_cast<double>(shards.size())));
+  return fmt::format(R"({{"targets":[{}],"query":"q"}})", fmt::join(list, ","));
+}
+
+std::string ask(std::string_view vertical, const std::vector<int>& shards, std::string_view id = "t1",
+                std::string_view remaining = "4000m") {
+  const auto body = targets(shards);
+  return fmt::format(
+      "POST /{} HTTP/1.1\r\nHost: h\r\nx-txn: {}\r\nX-REMAINING: {}\r\nIdempotency-Key: k9\r\n"
+      "Content-Length: {}\r\n\r\n{}",
+      vertical, id, remaining, body.size(), body);
+}
+
+const std::string kMerged =
+    R"({"whole":true,"results":[{"partition":1,"value":"q@1"},{"partition":2,"value":"q@2"}]})";
+
+// Enough parts that a tenth of them allows copies.
+void serve(Town& town, int many = 12) {
+  Client client(town);
+  for (int i = 0; i < many; ++i) {
+    client.say(ask("look", {i % 8}, "w" + std::to_string(i)));
+    REQUIRE(client.answer() == 200);
+  }
+}
+
+}  // namespace
+
+TEST_SUITE_BEGIN("router");
+
+TEST_CASE("a query is answered however its bytes arrive") {
+  Town town;
+  const auto whole = ask("look", {1, 2});
+  const auto body = targets({1, 2});
+  const auto chunked = fmt::format(
+      "POST /look/deep?x=1 HTTP/1.1\r\nX-Txn: t1\r\nX-Remaining: 4000000u\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n5\r\n{}\r\n{:x}\r\n{}\r\n0\r\n\r\n",
+      body.substr(0, 5), body.size() - 5, body.substr(5));
+  Client client(town);
+  for (const auto& request : {whole, chunked, chunked + whole + whole}) {
+    client.say(request);
+    for (int i = request.size() > chunked.size() + 50 ? 3 : 1; i > 0; --i) {
+      CHECK(client.answer() == 200);
+      CHECK(client.body == kMerged);
+    }
+  }
+  for (const auto byte : chunked) {
+    client.say({&byte, 1});
+    town.context.poll();
+  }
+  CHECK(client.answer() == 200);
+  CHECK(client.body == kMerged);
+  client.say("GET /_health HTTP/1.1\r\n\r\n");
+  CHECK(client.answer() == 200);
+  client.say(
+      "POST /look HTTP/1.1\r\nExpect: 100-continue\r\nX-Txn: a\r\nX-Remaining: 4000m\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n");
+  REQUIRE(town.until([&] { return client.got.starts_with("HTTP/1.1 100 Continue\r\n\r\n"); }));
+  client.got.clear();
+  client.say(body);
+  CHECK(client.answer() == 200);
+}
+
+TEST_CASE("what the nodes are sent follows the protocol") {
+  Town town;
+  Client client(town);
+  client.say(ask("change", {5}, "9b1f"));
+  REQUIRE(client.answer() == 200);
+  client.say(ask("report", {1, 2, 3}, "7c"));
+  REQUIRE(client.answer() == 200);
+  CHECK(client.body ==
+        R"({"whole":true,"results":[{"partition":3,"value":"q@3"},{"partition":2,"value":"q@2"}]})");
+  std::map<std::string, DataNode::Part> sent;
+  for (const auto& node : town.nodes)
+    for (const auto& part : node->parts) sent[part.id] = part;
+  CHECK(sent.size() == 6);
+  CHECK(sent["9b1f.5"].shard == 5);
+  CHECK(sent["9b1f.5"].text == "q");
+  CHECK(sent["9b1f.5"].list.starts_with("d="));
+  CHECK(sent["9b1f.5"].list.ends_with(",k=k9"));
+  CHECK(sent["7c.3.p2"].list.ends_with(",from=1+2+3,whole=1"));
+  CHECK(sent["7c.1"].list.find("from") == std::string::npos);
+}
+
+TEST_CASE("bad requests get their status at once, no call, and the connection stays where framing holds") {
+  struct Row {
+    std::string from, to;
+    int status;
+    bool stays;
+  };
+  const auto good = ask("look", {1, 2});
+  const Row rows[] = {
+      {"POST", "GET", 405, true},
+      {"/look", "/other", 404, true},
+      {"/look", "look", 400, true},
+      {"x-txn: t1", "x-txn: t 1", 400, true},
+      {"x-txn: t1\r\n", "", 400, true},
+      {"4000m", "4000", 400, true},
+      {"4000m", "-4m", 400, true},
+      {"4000m", "nanm", 400, true},
+      {"4000m", "9e99m", 400, true},
+      {"\"targets\"", "\"tarkets\"", 400, true},
+      {"\"query\":\"q\"", "\"query\":7  ", 400, true},
+      {"\"partition\":2", "\"partition\":1", 400, true},
+      {"\"partition\":2", "\"partition\":8", 400, true},
+      {"\"partition\":2", "\"partition\":.", 400, true},
+      {"\"share\":0.5", "\"share\":1.5", 400, true},
+      {"{\"targets\"", "[\"targets\"", 400, true},
+      {"Content-Length: ", "Content-Length: 9999", 413, false},
+      {"Content-Length: ", "Content-Length: x", 400, false},
+      {"Host: h\r\n", "Content-Length: 7\r\n", 400, false},
+      {"Host: h\r\n", "Transfer-Encoding: chunked\r\n", 400, false},
+      {"Host: h\r\n", "broken\r\n", 400, false},
+      {"HTTP/1.1", "HTTP/9.1", 400, false},
+      {"Host: h\r\n", "Host: " + std::string(9000, 'h') + "\r\n", 431, false},
+  };
+  Town town;
+  for (const auto& row : rows) {
+    CAPTURE(row.to.substr(0, 40));
+    auto request = good;
+    REQUIRE(request.find(row.from) != std::string::npos);
+    request.replace(request.find(row.from), row.from.size(), row.to);
+    Client client(town);
+    client.say(request);
+    CHECK(client.answer() == row.status);
+    if (row.stays) {
+      client.say("GET /_health HTTP/1.1\r\n\r\n");
+      CHECK(client.answer() == 200);
+    } else {
+      CHECK(client.last.find("Connection: close") != std::string::npos);
+      CHECK(client.ended());
+    }
+  }
+  CHECK(town.parts() == 0);
+  CHECK(town.logged("bad_request"));
+}
+
+TEST_CASE("a copy wins, and the loser is given up") {
+  Town town;
+  serve(town);
+  const DataNode* silent = nullptr;
+  for (const auto& node : town.nodes)
+    node->on_part = [&, usual = node->on_part, me = node.get()](const auto& part, auto& from) {
+      if (silent == nullptr) silent = me;
+      if (me != silent) usual(part, from);
+    };
+  Client client(town);
+  client.say(ask("look", {1}));
+  CHECK(client.answer() == 200);
+  REQUIRE(silent != nullptr);
+  CHECK(town.until([&] { return silent->given_up == std::vector<std::string>{"t1.1"}; }));
+}
+
+TEST_CASE("how a node fails a part, and what becomes of its query") {
+  struct Row {
+    const char* what;
+    std::function<void(const DataNode::Part&, toy::Session&)> act;
+    int change;  // the status of a deduplicated query of one part, the first node only failing
+  };
+  const Row rows[] = {
+      {"says failed", [](auto& part, auto& from) { DataNode::answer(from, part, "failed", 0, ""); }, 200},
+      {"says full", [](auto& part, auto& from) { DataNode::answer(from, part, "full", 0, ""); }, 200},
+      {"dies", [](auto&, auto& from) { from.close(); }, 200},
+      {"answers for another part",
+       [](auto& part, auto& from) {
+         auto other = part;
+         other.id += ".p2";
+         DataNode::answer(from, other, "done", 1, "wrong");
+         DataNode::answer(from, part, "done", 1, "q@1");
+       },
+       200},
+      {"sends an unknown frame", [](auto&, auto& from) { from.say(frame('X', "what")); }, 200},
+      {"sends F", [](auto&, auto& from) { from.say(frame('F', "no")); }, 200},
+      {"sends too large a frame", [](auto&, auto& from) { from.say(std::string("\x7f\xff\xff\xffR", 5)); },
+       200},
+      {"sends half a frame",
+       [](auto& part, auto& from) {
+         from.say(frame('R', part.id + " done 1 -\nq@1").substr(0, 9));
+         from.close();
+       },
+       200},
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.what);
+    for (const char* vertical : {"look", "change"}) {
+      CAPTURE(vertical);
+      Town town;
+      bool failed = false;
+      for (const auto& node : town.nodes)
+        node->on_part = [&, usual = node->on_part](const auto& part, auto& from) {
+          if (std::exchange(failed, true)) return usual(part, from);
+          row.act(part, from);
+        };
+      Client client(town);
+      client.say(ask(vertical, {1}));
+      CHECK(client.answer() == row.change);
+      CHECK(client.body == R"({"whole":true,"results":[{"partition":1,"value":"q@1"}]})");
+    }
+  }
+}
+
+TEST_CASE("a query that no node answers ends before its client's time, and says what is harmless") {
+  for (const auto& [vertical, status] : {std::pair("look", 503), std::pair("change", 500)}) {
+    Town town;
+    town.each_node([](const auto&, auto&) {});
+    Client client(town);
+    const auto start = now();
+    client.say(ask(vertical, {1}, "t1", "600m"));
+    CHECK(client.answer() == status);
+    CHECK(now() - start < 0.65);
+    CHECK((client.last.find("Retry-After: 0.5") != std::string::npos) == (status == 503));
+    CHECK(town.logged(status == 503 ? " rejected query=t1" : " aborted query=t1"));
+  }
+}
+
+TEST_CASE("a late answer to a call that was given up counts for no other, and the connection goes on") {
+  Town town(1);
+  serve(town, 2);
+  std::vector<std::pair<DataNode::Part, std::shared_ptr<toy::Session>>> held;
+  town.each_node([&](const auto& part, auto& from) { held.emplace_back(part, from.shared_from_this()); });
+  {
+    Client client(town);
+    client.say(ask("look", {1}, "t5"));
+    REQUIRE(town.until([&] { return held.size() == 1; }));
+  }  // the client is gone
+  Client client(town);
+  client.say(ask("look", {1}, "t5"));  // the same part again, under the same name
+  REQUIRE(town.until([&] { return held.size() == 2; }));
+  CHECK(held[0].second != held[1].second);
+  DataNode::answer(*held[0].second, held[0].first, "done", 1, "late");
+  for (int i = 0; i < 20; ++i) town.context.run_one_for(std::chrono::milliseconds(5));
+  CHECK(client.got.empty());
+  DataNode::answer(*held[1].second, held[1].first, "done", 1, "right");
+  CHECK(client.answer() == 200);
+  CHECK(client.body.find("right") != std::string::npos);
+}
+
+TEST_CASE("a connection that stays silent takes no new calls after one was given up on it") {
+  Town town(1);
+  serve(town, 2);
+  CHECK(town.nodes[0]->accepted() == 1);
+  int silent = 1;
+  town.nodes[0]->on_part = [&, usual = town.nodes[0]->on_part](const auto& part, auto& from) {
+    if (silent-- <= 0) usual(part, from);
+  };
+  Client client(town);
+  client.say(ask("look", {1}, "t1", "600m"));
+  CHECK(client.answer() == 503);
+  const auto again = [&] {  // the module lets the node rest for a while
+    client.say(ask("look", {1}, "t2"));
+    return client.answer() == 200;
+  };
+  CHECK(town.until(again));
+  CHECK(town.nodes[0]->accepted() == 2);
+}
+
+TEST_CASE("nodes come and go by the list, a lost watch is opened again, nonsense leaves the last good list") {
+  Town town;
+  Client client(town);
+  const auto answers = [&](int status) {
+    client.say(ask("look", {1, 2}));
+    CHECK(client.answer() == status);
+  };
+  answers(200);
+  town.discovery.break_off();
+  REQUIRE(town.until([&] { return town.discovery.asked.size() == 2; }));
+  CHECK(town.discovery.asked[1].find("since=1") != std::string::npos);
+  answers(200);
+  town.discovery.tell(R"({"version":9,"full":true,"servers":[{"id":7}]})");
+  REQUIRE(town.until([&] { return town.discovery.asked.size() == 3; }));
+  CHECK(town.discovery.asked[2].find("since") == std::string::npos);
+  CHECK(town.logged("list_unusable"));
+  answers(200);
+  const auto old = town.parts();
+  std::vector<std::string> gone;
+  for (int i = 0; i < 3; ++i)
+    gone.push_back(toy::Discovery::entry("s-" + std::to_string(i), town.nodes[0]->at(), i,
+                                         i == 0 ? "gone" : "draining"));
+  town.discovery.tell(toy::Discovery::list(10, false, gone));
+  REQUIRE(town.until([&] { return town.logged("version=10"); }));
+  answers(503);
+  CHECK(town.parts() == old);
+  town.discovery.tell(town.list(11, true));
+  REQUIRE(town.until([&] { return town.logged("version=11"); }));
+  answers(200);
+  town.discovery.stop();  // the agent is away: the list stands
+  REQUIRE(town.until([&] { return town.logged("Connection refused"); }));
+  answers(200);
+}
+
+TEST_CASE("told to stop, it answers what it holds and what crosses, then ends") {
+  Town town;
+  std::vector<std::pair<DataNode::Part, std::shared_ptr<toy::Session>>> held;
+  town.each_node([&](const auto& part, auto& from) { held.emplace_back(part, from.shared_from_this()); });
+  Client early(town), kept(town);
+  early.say(ask("look", {1}));
+  REQUIRE(town.until([&] { return held.size() == 1; }));
+  town.router->drain();
+  kept.say("GET /_health HTTP/1.1\r\n\r\n");
+  CHECK(kept.answer() == 503);
+  CHECK(kept.ended());
+  Client late(town);
+  late.say(ask("look", {2}, "t2"));
+  REQUIRE(town.until([&] { return held.size() == 2; }));
+  Client idle(town);
+  CHECK(idle.ended());
+  CHECK(town.router->phase() == Router::Phase::draining);
+  for (auto& [part, from] : held) DataNode::answer(*from, part, "done", 1, "v");
+  for (auto* client : {&early, &late}) {
+    CHECK(client->answer() == 200);
+    CHECK(client->last.find("Connection: close") != std::string::npos);
+    CHECK(client->ended());
+  }
+  CHECK(town.until([&] { return town.router->phase() == Router::Phase::stopped; }));
+}
+
+TEST_CASE("a full table refuses by the module's rules and takes queries again once it has room") {
+  Town town(3, 1024, 4);
+  std::vector<std::pair<DataNode::Part, std::shared_ptr<toy::Session>>> held;
+  town.each_node([&](const auto& part, auto& from) { held.emplace_back(part, from.shared_from_this()); });
+  Client first(town), second(town);
+  first.say(ask("look", {1, 2, 3}));
+  REQUIRE(town.until([&] { return held.size() == 3; }));
+  second.say(ask("change", {4}, "t2"));
+  CHECK(second.answer() == 503);
+  CHECK(held.size() == 3);
+  for (auto& [part, from] : held) DataNode::answer(*from, part, "done", 1, "v");
+  CHECK(first.answer() == 200);
+  second.say(ask("change", {4}, "t3"));
+  REQUIRE(town.until([&] { return held.size() == 4; }));
+}
+
+TEST_CASE("at the bound of connections the oldest that holds no request makes room") {
+  Town town(3, 64);  // a quarter of what is left of them for nodes: 24 clients
+  std::vector<std::unique_ptr<Client>> crowd;
+  for (int i = 0; i < 60; ++i) {
+    crowd.push_back(std::make_unique<Client>(town));
+    crowd.back()->say(i % 2 == 0 ? "POST /look HTTP/1.1\r\n" : "GET /_health HTTP/1.1\r\n\r\n");
+    if (i % 2 == 1) CHECK(crowd.back()->answer() == 200);
+  }
+  Client client(town);
+  client.say(ask("look", {1, 2}));
+  CHECK(client.answer() == 200);
+  CHECK(town.logged("client_room"));
+}
+
+TEST_CASE("a node that restarts or moves is reached by new connections") {
+  Town town(1);
+  serve(town, 2);
+  auto entry = toy::Discovery::entry("s-0", town.nodes[0]->at(), 0);
+  entry.replace(entry.find("started_ms\":0"), 13, "started_ms\":1700000000000");
+  town.discovery.tell(toy::Discovery::list(2, false, {entry}));
+  REQUIRE(town.until([&] { return town.logged("version=2"); }));
+  serve(town, 1);
+  CHECK(town.nodes[0]->accepted() == 2);
+  DataNode other(town.context);
+  town.discovery.tell(toy::Discovery::list(3, false, {toy::Discovery::entry("s-0", other.at(), 0)}));
+  REQUIRE(town.until([&] { return town.logged("version=3"); }));
+  serve(town, 1);
+  CHECK(other.parts.size() == 1);
+}
