--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+.PHONY: build test sanitize lint format run example query clean
+
+build:
+	cmake -B build -DCMAKE_BUILD_TYPE=Release >/dev/null && cmake --build build -j4
+
+test:
+	cmake --preset tests && cmake --build --preset tests && ctest --preset tests
+
+sanitize:
+	cmake --preset sanitize && cmake --build --preset sanitize && ctest --preset sanitize
+
+lint:
+	clang-format --dry-run -Werror src/*.?pp src/*/*.?pp tests/*.?pp examples/*.?pp
+
+format:
+	clang-format -i src/*.?pp src/*/*.?pp tests/*.?pp examples/*.?pp
+
+# The router as the platform starts it: RELAY_CONFIG names its configuration.
+run: build
+	exec build/yoketurn
+
+# A router with toy data nodes and a toy discovery; Ctrl-C ends all.
+example: build
+	@trap 'kill 0' INT TERM EXIT; build/yoketurn_toy & RELAY_CONFIG=examples/config.json build/yoketurn & wait
+
+# A first query to the example.
+query:
+	curl -sS -i http://127.0.0.1:18081/look -H 'X-Txn: first' -H 'X-Remaining: 2000m' \
+	  -d '{"targets":[{"partition":3,"share":0.5},{"partition":6,"share":0.5}],"query":"hello"}'
+
+clean:
+	rm -rf build build-tests build-sanitize
--- a/examples/standin.hpp
+++ b/examples/standin.hpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <functional>
@@ -165,7 +166,10 @@
 // An agent that answers a watch with what it has been given to tell.
 class Discovery : public Server {
  public:
-  using Server::Server;
+  explicit Discovery(boost::asio::io_context& context, unsigned short port = 0)
+      : Server(context, port), heartbeat_(context) {
+    beat();
+  }
   ~Discovery() override { stop(); }
 
   static std::string entry(const std::string& id, const tcp::endpoint& at, int cell,
@@ -203,7 +207,16 @@
   static std::string chunk(const std::string& line) {
     return fmt::format("{:x}\r\n{}\n\r\n", line.size() + 1, line);
   }
+  void beat() {
+    tell("");
+    heartbeat_.expires_after(std::chrono::seconds(2));
+    heartbeat_.async_wait([this](const auto& error) {
+      if (!error) beat();
+    });
+  }
+
   std::vector<std::weak_ptr<Session>> watchers_;
+  boost::asio::steady_timer heartbeat_;
 };
 
 // A configuration with one repeatable, one deduplicated, one two-step vertical; shards are held by all nodes.
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr double kHeartbeat = 2;               // the protocol's: an empty line comes so often
-constexpr double kSilence = 3 * kHeartbeat;    // after which the watch is taken for broken
+constexpr double kSilence = 1.5 * kHeartbeat;  // after which the watch is taken for broken
 constexpr double kAgain = kHeartbeat / 4;      // until a lost watch is opened again
 constexpr std::size_t kLongestLine = 4 << 20;  // some 20,000 entries
 constexpr std::size_t kRing = 64 * 1024;
