--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -16,10 +16,9 @@
 
 constexpr double kCrossing = 0.7;  // the protocol's: after SIGTERM what arrives so late is owed nothing
 constexpr double kFigures = 10;    // between two lines of figures
-constexpr std::size_t kOtherSockets =
-    32;                                // standard streams, event queue, timers, signals, listener, discovery
-constexpr std::size_t kNodeShare = 4;  // one in so many descriptors may go to data nodes
-constexpr std::size_t kMostNodes = 20'000;         // known by name
+constexpr std::size_t kOtherSockets = 16;   // streams, event queue, timers, signals, listener, discovery
+constexpr std::size_t kNodeShare = 2;       // one in so many descriptors may go to data nodes
+constexpr std::size_t kMostNodes = 20'000;  // known by name
 constexpr std::size_t kLargestValues = 64 * 1024;  // of one answer together: the protocol's largest body
 
 std::size_t node_connections(const Config& config) {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -452,7 +452,7 @@
 }
 
 TEST_CASE("at the bound of connections the oldest that holds no request makes room") {
-  Town town(3, 64);  // a quarter of what is left of them for nodes: 24 clients
+  Town town(3, 64);  // half of what is left of them for nodes: 24 clients
   std::vector<std::unique_ptr<Client>> crowd;
   for (int i = 0; i < 60; ++i) {
     crowd.push_back(std::make_unique<Client>(town));
