--- a/examples/standin.hpp
+++ b/examples/standin.hpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -39,6 +40,7 @@
     boost::system::error_code ignored;
     socket_.close(ignored);
   }
+  bool open() const { return socket_.is_open(); }
 
   Ring in{2 * kLargestFrame};
 
@@ -85,6 +87,12 @@
     break_off();
   }
   int accepted() const { return accepted_; }
+  int open() const {
+    return static_cast<int>(std::count_if(sessions_.begin(), sessions_.end(), [](const auto& session) {
+      const auto held = session.lock();
+      return held && held->open();
+    }));
+  }
 
  protected:
   virtual void came(Session& session) = 0;
--- a/src/discovery/list.hpp
+++ b/src/discovery/list.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/json/value.hpp>
+#include <boost/json/object.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -27,7 +27,7 @@
 };
 
 // Throws Malformed on what makes no sense; what it does not know it leaves out of account.
-MemberList read_list(const boost::json::value& value);
+MemberList read_list(const boost::json::object& object);
 MemberList read_list(std::string_view text);
 
 // host:port, as numbers.
--- a/src/router/config.cpp
+++ b/src/router/config.cpp
@@ -1,60 +1,40 @@
 #include "router/config.hpp"
 
-#include <boost/json.hpp>
 #include <charconv>
 #include <fstream>
+#include <limits>
 #include <sstream>
 
-namespace yoketurn {
+#include "settings/fields.hpp"
 
-namespace json = boost::json;
+namespace yoketurn {
 
 namespace {
 
-const json::value& field(const json::object& object, std::string_view name) {
-  const auto* value = object.if_contains(name);
-  if (value == nullptr) throw Malformed("configuration: no " + std::string(name));
-  return *value;
-}
-
-const json::object& part(const json::object& object, std::string_view name) {
-  const auto* result = field(object, name).if_object();
-  if (result == nullptr) throw Malformed("configuration: " + std::string(name) + " is no object");
-  return *result;
-}
-
-std::string text(const json::object& object, std::string_view name) {
-  const auto* result = field(object, name).if_string();
-  if (result == nullptr) throw Malformed("configuration: " + std::string(name) + " is no text");
-  return std::string(*result);
-}
+constexpr long long kFewestSockets = 64;
 
-boost::asio::ip::tcp::endpoint endpoint(const json::object& object, std::string_view name) {
-  const auto at = read_endpoint(text(object, name));
-  if (!at) throw Malformed("configuration: " + std::string(name) + " is no address");
+boost::asio::ip::tcp::endpoint endpoint(const boost::json::object& object, std::string_view name) {
+  const auto text = text_field(object, name);
+  const auto at = read_endpoint(text);
+  if (!at) complain(name, text);
   return *at;
 }
 
 }  // namespace
 
 Config read_config(std::string_view source) {
-  boost::system::error_code error;
-  const auto value = json::parse(json::string_view(source.data(), source.size()), error);
-  const auto* object = error ? nullptr : value.if_object();
-  if (object == nullptr) throw Malformed("configuration: no JSON object");
+  const auto object = parse_object(source, "the configuration");
   Config config;
-  config.name = text(*object, "name");
-  config.listen = endpoint(*object, "listen");
-  config.discovery = endpoint(*object, "discovery");
-  const auto seed = text(*object, "seed");
+  config.name = text_field(object, "name");
+  config.listen = endpoint(object, "listen");
+  config.discovery = endpoint(object, "discovery");
+  const auto seed = text_field(object, "seed");
   const auto [end, wrong] = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
-  if (wrong != std::errc{} || end != seed.data() + seed.size())
-    throw Malformed("configuration: seed is no hexadecimal number");
-  const auto sockets = field(part(*object, "limits"), "sockets").to_number<std::int64_t>(error);
-  if (error || sockets < 64) throw Malformed("configuration: limits.sockets is under 64 or no number");
-  config.sockets = static_cast<std::size_t>(sockets);
-  config.known = read_list(field(*object, "known"));
-  const auto setup = pairs(part(*object, "settings"));
+  if (wrong != std::errc{} || end != seed.data() + seed.size()) complain("seed", seed);
+  config.sockets = static_cast<std::size_t>(number_field<long long>(
+      object_field(object, "limits"), "sockets", kFewestSockets, std::numeric_limits<int>::max()));
+  config.known = read_list(object_field(object, "known"));
+  const auto setup = pairs(object_field(object, "settings"));
   config.settings = settings(setup);
   config.bounds = bounds(setup);
   config.verticals = names(setup, "classes");
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -4,12 +4,8 @@
 #include <boost/json.hpp>
 #include <charconv>
 #include <cmath>
-#include <optional>
 
 namespace yoketurn {
-namespace {
-
-constexpr double kLargestIndex = 1e6;  // far above any count in a setting, far below what an int holds
 
 std::optional<double> to_number(std::string_view text) {
   double value = 0;
@@ -18,10 +14,12 @@
   return value;
 }
 
-[[noreturn]] void complain(const char* what, std::string_view word) {
+void complain(std::string_view what, std::string_view word) {
   throw Malformed(std::string(what) + ": '" + std::string(word) + "' makes no sense");
 }
 
+namespace {
+
 // Reads required and optional figures of the settings, by path.
 class Reader {
  public:
@@ -30,7 +28,7 @@
   double number(const std::string& path, double least) const {
     const auto& text = required(setup_, path);
     const auto value = to_number(text);
-    if (!value || *value < least) complain(path.c_str(), text);
+    if (!value || *value < least) complain(path, text);
     return *value;
   }
   double optional(const std::string& path, double absent) const {
@@ -39,23 +37,23 @@
   double seconds(const std::string& path) const { return number(path, 0) / 1e6; }
   int count(const std::string& path, int least) const {
     const auto value = number(path, least);
-    if (value > kLargestIndex) complain(path.c_str(), required(setup_, path));
+    if (value > kLargestIndex) complain(path, required(setup_, path));
     return static_cast<int>(value);
   }
   bool flag(const std::string& path) const {
     const auto& text = required(setup_, path);
     if (text == "true" || text == "1") return true;
     if (text == "false" || text == "0") return false;
-    complain(path.c_str(), text);
+    complain(path, text);
   }
   std::vector<double> numbers(const std::string& path, std::size_t size) const {
     std::vector<double> values;
     for (const auto& text : split(required(setup_, path), ',')) {
       const auto value = to_number(text);
-      if (!value || *value < 0 || *value > kLargestIndex) complain(path.c_str(), text);
+      if (!value || *value < 0 || *value > kLargestIndex) complain(path, text);
       values.push_back(*value);
     }
-    if (values.size() != size) complain(path.c_str(), required(setup_, path));
+    if (values.size() != size) complain(path, required(setup_, path));
     return values;
   }
 
@@ -137,7 +135,7 @@
   const auto count = setup.find(prefix + ".count");
   if (count == setup.end()) return result;
   const auto many = to_number(count->second);
-  if (!many || *many < 0 || *many > 1e4) complain(count->first.c_str(), count->second);
+  if (!many || *many < 0 || *many > 1e4) complain(count->first, count->second);
   for (int i = 0; i < static_cast<int>(*many); ++i)
     result.push_back(required(setup, prefix + "." + std::to_string(i) + ".name"));
   return result;
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/json/fwd.hpp>
 #include <map>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -16,6 +17,11 @@
   using std::runtime_error::runtime_error;
 };
 
+inline constexpr double kLargestIndex = 1e6;  // far above any count that is told, far below what an int holds
+
+std::optional<double> to_number(std::string_view text);                    // finite, and nothing behind it
+[[noreturn]] void complain(std::string_view what, std::string_view word);  // throws Malformed
+
 // Values by path, such as classes.0.name; a list of plain values is one value, set apart by commas.
 using Pairs = std::map<std::string, std::string, std::less<>>;
 Pairs pairs(std::string_view text);              // path=value, set apart by spaces
--- a/src/wire/text.cpp
+++ b/src/wire/text.cpp
@@ -3,26 +3,8 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
-#include <optional>
 
 namespace yoketurn::wire {
-namespace {
-
-constexpr double kLargestIndex = 1e6;  // far above any count on the wire, far below what an int holds
-
-std::optional<double> to_number(std::string_view text) {
-  double value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value)) return std::nullopt;
-  return value;
-}
-
-[[noreturn]] void complain(const char* what, std::string_view word) {
-  throw Malformed(std::string(what) + ": '" + std::string(word) + "' makes no sense");
-}
-
-}  // namespace
-
 std::string_view Fields::word(const char* what) {
   if (rest_.empty()) throw Malformed(std::string(what) + " is missing");
   const auto end = std::min(rest_.find(' '), rest_.size());
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -17,11 +17,12 @@
 const auto kAnyPort = tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0);
 
 struct Town {
-  explicit Town(int many = 3, int sockets = 1024, int max_open = 200) {
+  explicit Town(int many = 3, int sockets = 1024, int max_open = 200, double idle = 15) {
     for (int i = 0; i < many; ++i) nodes.push_back(std::make_unique<DataNode>(context));
     discovery.whole = list(1, true);
-    const auto config =
+    auto config =
         read_config(toy::config(kAnyPort, discovery.at(), many, discovery.whole, sockets, max_open));
+    config.bounds.idle_timeout = idle;
     router = std::make_unique<Router>(context, config, log);
     router->start();
     REQUIRE(until([&] { return !discovery.asked.empty(); }));
@@ -480,3 +481,19 @@
   serve(town, 1);
   CHECK(other.parts.size() == 1);
 }
+
+TEST_CASE("an idle connection is closed before the node would do it, one with a call out is not") {
+  Town town(1, 1024, 200, 0.6);
+  serve(town, 1);
+  CHECK(town.nodes[0]->open() == 1);
+  const auto start = now();
+  REQUIRE(town.until([&] { return town.nodes[0]->open() == 0; }));
+  CHECK(now() - start < 0.6);
+  std::vector<std::pair<DataNode::Part, std::shared_ptr<toy::Session>>> held;
+  town.each_node([&](const auto& part, auto& from) { held.emplace_back(part, from.shared_from_this()); });
+  Client client(town);
+  client.say(ask("change", {1}));
+  CHECK(!town.until([&] { return town.nodes[0]->open() == 0 && !held.empty(); }, 0.8));
+  DataNode::answer(*held.at(0).second, held[0].first, "done", 1, "v");
+  CHECK(client.answer() == 200);
+}
