--- a/examples/standin.hpp
+++ b/examples/standin.hpp
@@ -196,6 +196,7 @@
       if (const auto held = watcher.lock()) held->say(chunk(line));
   }
 
+  bool silent = false;             // sends no heartbeat
   std::string whole;               // the list each watch begins with
   std::vector<std::string> asked;  // the first lines of the requests
 
@@ -216,7 +217,7 @@
     return fmt::format("{:x}\r\n{}\n\r\n", line.size() + 1, line);
   }
   void beat() {
-    tell("");
+    if (!silent) tell("");
     heartbeat_.expires_after(std::chrono::seconds(2));
     heartbeat_.async_wait([this](const auto& error) {
       if (!error) beat();
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -497,3 +497,11 @@
   DataNode::answer(*held.at(0).second, held[0].first, "done", 1, "v");
   CHECK(client.answer() == 200);
 }
+
+TEST_CASE("a watch that falls silent is opened again, and the list stands meanwhile") {
+  Town town;
+  town.discovery.silent = true;
+  REQUIRE(town.until([&] { return town.discovery.asked.size() == 2; }));
+  CHECK(town.logged("watch_lost why=\"silence\""));
+  serve(town, 1);
+}
