--- a/src/clients/bodies.hpp
+++ b/src/clients/bodies.hpp
@@ -11,6 +11,8 @@
 
 namespace yoketurn {
 
+inline constexpr std::size_t kLargestBody = 64 * 1024;  // the protocol's, both ways
+
 struct Target {
   int shard = 0;
   double share = 0;
--- a/src/clients/connection.cpp
+++ b/src/clients/connection.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr std::size_t kLargestHeader = 8 * 1024;
-constexpr std::size_t kLargestBody = 64 * 1024;  // the protocol's, both ways
 constexpr double kLinger = 1;  // for which what a client still sends is read, so that it sees the answer
 
 }  // namespace
--- a/src/clients/connection.hpp
+++ b/src/clients/connection.hpp
@@ -35,7 +35,6 @@
   // Between two requests: nothing of a request has been read.
   bool idle() const { return state_ == State::reading && !begun_; }
   bool half_read() const { return state_ == State::reading && begun_; }
-  bool asked() const { return state_ == State::asked; }
   bool served() const { return served_; }  // has had an answer
   double since() const { return since_; }
   int id() const { return id_; }
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -98,6 +98,10 @@
   connection_->request = fmt::format("GET /catalog/members?follow=1{} HTTP/1.1\r\nHost: {}:{}\r\n\r\n", since,
                                      agent_.address().to_string(), agent_.port());
   connection_->open(agent_);
+  await_heartbeat();
+}
+
+void Watch::await_heartbeat() {
   due_.set(due_key_, now() + kSilence, [this](double) { lost("silence"); });
 }
 
@@ -111,7 +115,7 @@
   }
   if (begin == 0) return;
   body.erase(0, begin);
-  due_.set(due_key_, now() + kSilence, [this](double) { lost("silence"); });
+  await_heartbeat();
 }
 
 void Watch::on_line(std::string_view line) {
--- a/src/discovery/watch.hpp
+++ b/src/discovery/watch.hpp
@@ -35,6 +35,7 @@
   struct Connection;
 
   void open();
+  void await_heartbeat();
   void on_lines(Connection& connection);
   void on_line(std::string_view line);
   void lost(std::string_view why);
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -19,7 +19,6 @@
 constexpr std::size_t kOtherSockets = 16;   // streams, event queue, timers, signals, listener, discovery
 constexpr std::size_t kNodeShare = 2;       // one in so many descriptors may go to data nodes
 constexpr std::size_t kMostNodes = 20'000;  // known by name
-constexpr std::size_t kLargestValues = 64 * 1024;  // of one answer together: the protocol's largest body
 
 std::size_t node_connections(const Config& config) {
   return (config.sockets - kOtherSockets) / kNodeShare;
@@ -36,6 +35,11 @@
   return asked;
 }
 
+asio::steady_timer::duration until(double at) {
+  return std::chrono::duration_cast<asio::steady_timer::duration>(
+      std::chrono::duration<double>(std::max(at - now(), 0.0)));
+}
+
 const char* name(Router::Phase phase) {
   static constexpr const char* kNames[] = {"starting", "serving", "draining", "stopped"};
   return kNames[static_cast<int>(phase)];
@@ -106,8 +110,7 @@
   log_.sum_up(at);
   tell_figures(at);
   turn();
-  tick_timer_.expires_after(std::chrono::duration_cast<asio::steady_timer::duration>(
-      std::chrono::duration<double>(std::max(next_tick_ - now(), 0.0))));
+  tick_timer_.expires_after(until(next_tick_));
   tick_timer_.async_wait([this](const auto& error) {
     if (!error) tick();
   });
@@ -144,8 +147,7 @@
   if (next == armed_) return;
   armed_ = next;
   if (!std::isfinite(next)) return;
-  due_timer_.expires_after(std::chrono::duration_cast<asio::steady_timer::duration>(
-      std::chrono::duration<double>(std::max(next - now(), 0.0))));
+  due_timer_.expires_after(until(next));
   due_timer_.async_wait([this](const auto& error) {
     if (error) return;
     armed_ = 0;
@@ -325,7 +327,7 @@
   part.in = true;
   held.bytes += value.size();
   // Values that fit no answer together are not kept: the answer is then refused for its size.
-  if (held.bytes <= kLargestValues) part.value = std::move(value);
+  if (held.bytes <= kLargestBody) part.value = std::move(value);
 }
 
 // --- discovery
