--- a/src/logging/log.cpp
+++ b/src/logging/log.cpp
@@ -1,6 +1,8 @@
 #include "logging/log.hpp"
 
+#include <algorithm>
 #include <chrono>
+#include <string>
 
 namespace yoketurn {
 
@@ -12,7 +14,12 @@
   }
   ++count.written;
   const auto at = std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
-  fmt::print(to_, "{:.3f} {} {}\n", at, event, values);
+  // What came over a socket may stand in a value: it must neither end the line nor make it as long as it
+  // likes.
+  std::string shown(values.substr(0, kLongest));
+  std::replace_if(
+      shown.begin(), shown.end(), [](unsigned char c) { return c < ' '; }, ' ');
+  fmt::print(to_, "{:.3f} {} {}\n", at, event, shown);
   std::fflush(to_);
 }
 
--- a/src/logging/log.hpp
+++ b/src/logging/log.hpp
@@ -28,7 +28,8 @@
 
   void write(std::string_view event, std::string_view values);
 
-  static constexpr int kLines = 20;  // of one event between two calls of sum_up
+  static constexpr int kLines = 20;              // of one event between two calls of sum_up
+  static constexpr std::size_t kLongest = 1024;  // of a line's values
   std::FILE* to_;
   std::map<std::string_view, Count> counts_;
   double summed_ = 0;
--- a/tests/network_test.cpp
+++ b/tests/network_test.cpp
@@ -5,6 +5,7 @@
 #include "datanodes/frames.hpp"
 #include "discovery/list.hpp"
 #include "examples/standin.hpp"
+#include "logging/log.hpp"
 #include "router/config.hpp"
 
 using namespace yoketurn;
@@ -175,3 +176,20 @@
   CHECK(body ==
         R"({"whole":false,"results":[{"partition":3,"value":"5be2\"\\\n"},{"partition":9,"value":""}]})");
 }
+
+TEST_CASE("a log line stays one line of bounded length, and a flood of them is summed up") {
+  char* text = nullptr;
+  std::size_t size = 0;
+  std::FILE* file = open_memstream(&text, &size);
+  Log log(file);
+  log.line("odd", "why=\"{}\"", "a\nb" + std::string(100000, 'x'));
+  for (int i = 0; i < 1000; ++i) log.line("flood", "n={}", i);
+  log.sum_up(10);
+  std::fclose(file);
+  const std::string said(text, size);
+  std::free(text);
+  CHECK(said.find(" odd why=\"a bxxx") != std::string::npos);
+  CHECK(said.find('\n') < 1100);
+  CHECK(std::count(said.begin(), said.end(), '\n') == 22);
+  CHECK(said.find("flood held_back=980") != std::string::npos);
+}
