--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -92,6 +92,16 @@
   open();
 }
 
+// Another agent may count its versions otherwise: its whole list is asked for, which then takes the place of
+// the one that is held.
+void Watch::follow(const asio::ip::tcp::endpoint& agent) {
+  drop();
+  agent_ = agent;
+  version_.reset();
+  nonsense_ = false;
+  open();
+}
+
 void Watch::open() {
   connection_ = std::make_shared<Connection>(context_, *this);
   const auto since = version_ ? fmt::format("&since={}", *version_) : "";
@@ -136,13 +146,16 @@
   }
 }
 
+void Watch::drop() {
+  if (!connection_) return;
+  connection_->watch = nullptr;
+  boost::system::error_code ignored;
+  connection_->socket.close(ignored);
+  connection_.reset();
+}
+
 void Watch::lost(std::string_view why) {
-  if (connection_) {
-    connection_->watch = nullptr;
-    boost::system::error_code ignored;
-    connection_->socket.close(ignored);
-    connection_.reset();
-  }
+  drop();
   log_.line("watch_lost", "why=\"{}\" version={}", why, version_.value_or(-1));
   listener_.watch_lost();
   due_.set(due_key_, now() + kAgain, [this](double) { open(); });
--- a/src/discovery/watch.hpp
+++ b/src/discovery/watch.hpp
@@ -30,6 +30,7 @@
   ~Watch();
 
   void start(std::optional<long long> known_version);
+  void follow(const boost::asio::ip::tcp::endpoint& agent);  // in place of the one before, at once
 
  private:
   struct Connection;
@@ -38,6 +39,7 @@
   void await_heartbeat();
   void on_lines(Connection& connection);
   void on_line(std::string_view line);
+  void drop();
   void lost(std::string_view why);
 
   boost::asio::io_context& context_;
--- a/src/router/config.cpp
+++ b/src/router/config.cpp
@@ -34,11 +34,11 @@
   config.sockets = static_cast<std::size_t>(number_field<long long>(
       object_field(object, "limits"), "sockets", kFewestSockets, std::numeric_limits<int>::max()));
   config.known = read_list(object_field(object, "known"));
-  const auto setup = pairs(object_field(object, "settings"));
-  config.settings = settings(setup);
-  config.bounds = bounds(setup);
-  config.verticals = names(setup, "classes");
-  config.zones = split(required(setup, "zones"), ',');
+  config.setup = pairs(object_field(object, "settings"));
+  config.settings = settings(config.setup);
+  config.bounds = bounds(config.setup);
+  config.verticals = names(config.setup, "classes");
+  config.zones = split(required(config.setup, "zones"), ',');
   return config;
 }
 
@@ -47,7 +47,9 @@
   std::stringstream content;
   content << file.rdbuf();
   if (!file) throw Malformed("configuration: " + path + " can't be read");
-  return read_config(content.str());
+  auto config = read_config(content.str());
+  config.path = path;
+  return config;
 }
 
 }  // namespace yoketurn
--- a/src/router/config.hpp
+++ b/src/router/config.hpp
@@ -1,4 +1,4 @@
-// What a router is told at its start.
+// What a router is told at its start, and again whenever its configuration is replaced.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -11,12 +11,14 @@
 namespace yoketurn {
 
 struct Config {
+  std::string path;  // empty: it came from no file
   std::string name;
   boost::asio::ip::tcp::endpoint listen;
   boost::asio::ip::tcp::endpoint discovery;
   std::uint64_t seed = 0;
   std::size_t sockets = 0;
   MemberList known;
+  Pairs setup;  // the settings as they are told, from which these two are read
   Settings settings;
   Bounds bounds;
   std::vector<std::string> verticals, zones;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -64,9 +64,8 @@
 
 void Router::start() {
   signals_.add(SIGTERM);
-  signals_.async_wait([this](const auto& error, int) {
-    if (!error) drain();
-  });
+  signals_.add(SIGHUP);
+  await_signal();
   clients_.open(config_.listen);
   log_.line("phase", "name={} router={} listen={}:{}", name(phase_), config_.name,
             config_.listen.address().to_string(), config_.listen.port());
@@ -77,6 +76,37 @@
   tick();
 }
 
+void Router::await_signal() {
+  signals_.async_wait([this](const auto& error, int number) {
+    if (error) return;
+    number == SIGTERM ? drain() : reload();
+    await_signal();
+  });
+}
+
+// A file that is missing, half written or broken leaves all as it is. What is in hand goes on meanwhile, and
+// the list stands until the new address tells one: without this a router would end by the signal, or stay
+// blind on an address that is given up.
+void Router::reload() {
+  try {
+    const auto fresh = load_config(config_.path);
+    const std::pair<const char*, bool> fixed[] = {{"name", fresh.name != config_.name},
+                                                  {"listen", fresh.listen != config_.listen},
+                                                  {"limits", fresh.sockets != config_.sockets},
+                                                  {"settings", fresh.setup != config_.setup}};
+    std::string kept;
+    for (const auto& [entry, changed] : fixed)
+      if (changed) kept += (kept.empty() ? "" : ",") + std::string(entry);
+    log_.line("reloaded", "discovery={}:{} changed={} kept={}", fresh.discovery.address().to_string(),
+              fresh.discovery.port(), fresh.discovery != config_.discovery, kept.empty() ? "-" : kept);
+    if (fresh.discovery == config_.discovery) return;
+    config_.discovery = fresh.discovery;
+    watch_.follow(fresh.discovery);
+  } catch (const std::exception& error) {
+    log_.line("reload_failed", "why=\"{}\"", error.what());
+  }
+}
+
 void Router::enter(Phase phase) {
   phase_ = phase;
   log_.line("phase", "name={} in_hand={} clients={}", name(phase), by_client_.size(), clients_.connections());
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -30,6 +30,7 @@
 
   void start();
   void drain();
+  void reload();  // reads its configuration again and follows what of it can change while it runs
   Phase phase() const { return phase_; }
   boost::asio::ip::tcp::endpoint at() const { return clients_.at(); }
 
@@ -88,6 +89,7 @@
   void turn();
   void arm();
   void tick();
+  void await_signal();
   void enter(Phase phase);
   void wind_up(double at);
   void tell_figures(double at);
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -3,7 +3,10 @@
 
 #include <doctest/doctest.h>
 
+#include <csignal>
 #include <cstdlib>
+#include <filesystem>
+#include <fstream>
 
 #include "examples/standin.hpp"
 #include "queries/clock.hpp"
@@ -20,8 +23,8 @@
   explicit Town(int many = 3, int sockets = 1024, int max_open = 200, double idle = 15) {
     for (int i = 0; i < many; ++i) nodes.push_back(std::make_unique<DataNode>(context));
     discovery.whole = list(1, true);
-    auto config =
-        read_config(toy::config(kAnyPort, discovery.at(), many, discovery.whole, sockets, max_open));
+    configure(toy::config(kAnyPort, discovery.at(), many, discovery.whole, sockets, max_open));
+    auto config = load_config(path);
     config.bounds.idle_timeout = idle;
     router = std::make_unique<Router>(context, config, log);
     router->start();
@@ -31,7 +34,9 @@
     router.reset();
     std::fclose(file);
     std::free(text);
+    std::filesystem::remove(path);
   }
+  void configure(std::string_view config) const { std::ofstream(path) << config; }
   std::string list(int version, bool full) const {
     std::vector<std::string> entries;
     for (std::size_t i = 0; i < nodes.size(); ++i)
@@ -61,6 +66,8 @@
     for (const auto& node : nodes) node->on_part = act;
   }
 
+  const std::string path =
+      (std::filesystem::temp_directory_path() / ("yoketurn-" + std::to_string(getpid()) + ".json")).string();
   boost::asio::io_context context;
   std::vector<std::unique_ptr<DataNode>> nodes;
   toy::Discovery discovery{context};
@@ -505,3 +512,52 @@
   CHECK(town.logged("watch_lost why=\"silence\""));
   serve(town, 1);
 }
+
+TEST_CASE("SIGHUP: a new discovery is followed with queries in hand, a broken file changes nothing") {
+  Town town;
+  std::vector<std::pair<DataNode::Part, std::shared_ptr<toy::Session>>> held;
+  town.each_node([&](const auto& part, auto& from) { held.emplace_back(part, from.shared_from_this()); });
+  Client client(town);
+  client.say(ask("look", {1}));
+  REQUIRE(town.until([&] { return held.size() == 1; }));
+  const auto config = [&](const toy::Discovery& at) {
+    return toy::config(kAnyPort, at.at(), 3, town.discovery.whole);
+  };
+  const auto good = config(town.discovery);
+  const std::pair<std::string, const char*> broken[] = {
+      {good.substr(0, good.size() / 2), "why=\"the configuration is no"}, {"{}", "why=\"name is missing"}};
+  for (const auto& [text, why] : broken) {
+    town.configure(text);
+    std::raise(SIGHUP);
+    REQUIRE(town.until([&] { return town.logged(why); }));
+  }
+  town.discovery.tell(town.list(2, true));
+  REQUIRE(town.until([&] { return town.logged("version=2"); }));
+  // The new agent counts its versions from anew, and lacks two of the nodes.
+  toy::Discovery first(town.context), second(town.context);
+  const auto entry = toy::Discovery::entry("s-0", town.nodes[0]->at(), 0);
+  first.whole = second.whole = toy::Discovery::list(1, true, {entry});
+  town.configure(config(first));
+  std::raise(SIGHUP);
+  std::raise(SIGHUP);
+  REQUIRE(town.until([&] { return first.asked.size() == 1; }));
+  CHECK(first.asked[0].find("since") == std::string::npos);
+  town.configure(config(second));
+  std::raise(SIGHUP);
+  REQUIRE(town.until([&] { return town.logged("entries=1 ready=1") && second.asked.size() == 1; }));
+  CHECK(town.until([&] { return town.discovery.open() + first.open() == 0; }));
+  CHECK(held.size() == 1);
+  DataNode::answer(*held[0].second, held[0].first, "done", 1, "v");
+  CHECK(client.answer() == 200);
+  town.discovery.stop();
+  const auto last = town.nodes[0]->parts.size();
+  town.each_node([](const auto& part, auto& from) { DataNode::answer(from, part, "done", 1, "v"); });
+  for (int i = 0; i < 6; ++i) {
+    client.say(ask("look", {i}, "n" + std::to_string(i)));
+    CHECK(client.answer() == 200);
+  }
+  CHECK(town.nodes[0]->parts.size() == last + 6);
+  town.router->drain();
+  std::raise(SIGHUP);
+  CHECK(town.until([&] { return town.router->phase() == Router::Phase::stopped; }));
+}
