--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -14,8 +14,12 @@
 
 namespace {
 
-constexpr double kCrossing = 0.7;  // the protocol's: after SIGTERM what arrives so late is owed nothing
-constexpr double kFigures = 10;    // between two lines of figures
+// The protocol's: SIGKILL comes after the longest deadline, this at most, and the time for what crosses
+// SIGTERM.
+constexpr double kLongestEnd = 3;
+constexpr double kCrossing = 0.7;
+constexpr double kSpare = 0.2;              // before it, by which what came last has its answer
+constexpr double kFigures = 10;             // between two lines of figures
 constexpr std::size_t kOtherSockets = 16;   // streams, event queue, timers, signals, listener, discovery
 constexpr std::size_t kNodeShare = 2;       // one in so many descriptors may go to data nodes
 constexpr std::size_t kMostNodes = 20'000;  // known by name
@@ -112,19 +116,24 @@
   log_.line("phase", "name={} in_hand={} clients={}", name(phase), by_client_.size(), clients_.connections());
 }
 
-// What crosses the signal is still answered: clients find out late, and their connections hold requests that
-// have not been read.
+// Clients find out late, and go on with the connections they have: these are served for half of the time that
+// is left. Where the other routers restart too, all would else have closed before the first is back.
 void Router::drain() {
   if (phase_ == Phase::draining) return;
   enter(Phase::draining);
-  clients_.wind_down();
-  drained_at_ = now() + kCrossing;
+  told_to_stop_ = now();
   wake();
 }
 
+double Router::killed_at() const {
+  return told_to_stop_ + kCrossing + std::min(config_.bounds.longest_wait, kLongestEnd);
+}
+
 void Router::wind_up(double at) {
-  if (phase_ != Phase::draining || at < drained_at_) return;
+  if (phase_ != Phase::draining || at < told_to_stop_ + kCrossing) return;
   clients_.stop();
+  if (clients_.connections() > 0 && at < (told_to_stop_ + kCrossing + killed_at()) / 2) return;
+  clients_.wind_down();
   clients_.close_idle();
   if (clients_.owes()) return;
   enter(Phase::stopped);
@@ -218,6 +227,8 @@
   Query q;
   q.vertical = ask.vertical;
   q.expires = at + ask.remaining;
+  // What comes so late must not be found without its answer by SIGKILL.
+  if (phase_ == Phase::draining) q.expires = std::min(q.expires, killed_at() - kSpare);
   q.client_retry = ask.client_retry;
   q.no_room = open_ >= config_.bounds.max_open;
   for (const auto& target : ask.targets) q.work += target.work;
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -22,8 +22,8 @@
 
 class Router : private Actions, private Pool::Listener, private Listener::Asker, private Watch::Listener {
  public:
-  // starting: not yet a node to send to. serving. draining: told to stop; answers what comes until nothing
-  // new can, then what it holds. stopped: owes nothing.
+  // starting: not yet a node to send to. serving. draining: told to stop; goes on answering on the
+  // connections it has, then closes them and answers what it holds. stopped: owes nothing.
   enum class Phase { starting, serving, draining, stopped };
 
   Router(boost::asio::io_context& context, const Config& config, Log& log);
@@ -91,6 +91,7 @@
   void tick();
   void await_signal();
   void enter(Phase phase);
+  double killed_at() const;
   void wind_up(double at);
   void tell_figures(double at);
   void tell_of(std::string_view end, long long query);
@@ -102,7 +103,7 @@
   Names zones_;
   double unix_at_zero_;
   Phase phase_ = Phase::starting;
-  double drained_at_ = 0;  // when nothing new can arrive any more
+  double told_to_stop_ = 0;
   bool woken_ = false;
   double next_tick_ = 0;
   double armed_ = 0;
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -37,6 +37,7 @@
   int parts_a_call = 1;
   double connect_timeout = 0;
   double idle_timeout = 0;  // a node closes a connection that was idle for so long
+  double longest_wait = 0;  // of a client, over all its tries
 };
 Bounds bounds(const Pairs& setup);
 
