--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -171,6 +171,7 @@
   double latency = 0;   // smoothed; 0: unheard
   double heard = 0;     // when it last changed
   double answered = 0;  // when it last answered anything
+  double served = 0;    // when the latest of the parts it has done was sent
   bool suspect = false;
   double pause = 0;     // between its trials
   double trial_at = 0;  // the next one
@@ -260,6 +261,7 @@
   Tally taken, extras;     // over the span of the budget
   double strain = 0;       // part latency to the time that a step has
   double typical_out = 0;  // parts out while that was measured
+  double astray = kNever;  // the age from which a part that others have overtaken is lost
   Smoothed mean_density;   // utility for a unit of work, over all queries
   double ticked, ask_after;
   double called;          // when the module was last called
@@ -294,6 +296,18 @@
   }
   double capacity(const Node& node, double now) const;
   double latency(const Node& node, double now) const;
+  // An answer that is lost says nothing of its node, which has done parts sent later. Taken for a part that
+  // waits, one in fifteen lost makes all nodes look slow and full in turn, and stops the copies that would
+  // help.
+  // Later parts that are lighter pass a heavy one at a slow node too: its age is held against the node's own
+  // latency as well.
+  bool overtaken(const Node& node, double sent, double now) const {
+    return sent < node.served && now - sent > kSilence * node.latency;
+  }
+  bool stray(const Node& node, double sent, double now) const {
+    return overtaken(node, sent, now) && now - sent > astray;
+  }
+  std::size_t calls_at(const Node& node, double now) const;
   bool joins(const Node& node, double now) const;
   bool shunned(const Node& node, double now) const;
   void watch(Node& node, double now);
@@ -387,7 +401,7 @@
     const auto many = static_cast<double>(samples.size());
     const auto before = static_cast<double>(samples_of_all.size());
     for (const auto& [sent, time, node] : v.waiting) {
-      if (at(node).suspect) continue;
+      if (at(node).suspect || stray(at(node), sent, now)) continue;
       samples.push_back({now - sent, true});
       if (now - sent <= kStrainWindow) samples_of_all.push_back({(now - sent) / time, true});
     }
@@ -397,6 +411,10 @@
     v.delay = (many * quantile(samples, kHedgeQuantile) + kStartWeight * kStartShare * v.slo) /
               (many + kStartWeight);
   }
+  astray = 0;
+  for (const auto& v : verticals)
+    if (v.lost < kNever) astray = std::max(astray, v.lost);
+  if (astray <= 0) astray = kNever;
   // Where all parts are needed the slow ones decide; where a share will do, they matter less.
   const auto many = static_cast<double>(samples_of_all.size());
   strain = many < kStartWeight ? 0 : quantile(samples_of_all, kStrainQuantile * needed / many);
@@ -420,7 +438,7 @@
     const auto way = static_cast<std::size_t>(node.zone);
     if (node.suspect && answers[way] > 0) continue;  // others there do answer: it is the node, not the way
     for (const auto sent : node.waiting)
-      if (now - sent <= kStrainWindow) by_way[way].push_back({now - sent, true});
+      if (now - sent <= kStrainWindow && !stray(node, sent, now)) by_way[way].push_back({now - sent, true});
   }
   for (const auto& samples : by_way) all.insert(all.end(), samples.begin(), samples.end());
   median = quantile(all, 0.5);
@@ -448,10 +466,17 @@
 // better witness: a node that swallows its work must not look merely unheard.
 double Brain::State::latency(const Node& node, double now) const {
   auto value = drifted(node, usual(node) / capacity(node, now), now);
-  if (!node.waiting.empty()) value = std::max(value, now - *node.waiting.begin());
+  const auto oldest = node.waiting.upper_bound(node.served);  // of those that no later one has overtaken
+  if (oldest != node.waiting.end()) value = std::max(value, now - *oldest);
   return std::max(value, 1e-3);
 }
 
+std::size_t Brain::State::calls_at(const Node& node, double now) const {
+  const auto lost = std::count_if(node.waiting.begin(), node.waiting.lower_bound(node.served),
+                                  [&](double sent) { return stray(node, sent, now); });
+  return node.groups.size() - std::min(node.groups.size(), static_cast<std::size_t>(lost));
+}
+
 // Whether a part sent there now travels in a call that stands open.
 bool Brain::State::joins(const Node& node, double now) const {
   const auto open = node.groups.find(node.open_group);
@@ -485,7 +510,7 @@
 
 double Brain::State::score(const Node& node, double now) {
   return (shunned(node, now) ? kShunned : 1) * latency(node, now) *
-         (static_cast<double>(node.groups.size()) + (joins(node, now) ? kJoinCost : 1));
+         (static_cast<double>(calls_at(node, now)) + (joins(node, now) ? kJoinCost : 1));
 }
 
 // The one guard that every send passes.
@@ -550,13 +575,16 @@
          now >= copy_at(q, leaf) - 1e-6 && now < slo_end(q);
 }
 
-// A part is given up and sent again where each call that is out is too old to be slow, at a node that is
-// suspect and has answered nothing since. Without this a query whose copies are used up waits in vain for its
-// last part; by age alone heavy parts would be sent again. The cancelled call may still be out for a moment.
+// A part is given up and sent again where each call that is out is too old to be slow, at a node that has
+// done parts sent later, or is suspect and has answered nothing since. Without this a query whose copies are
+// used up waits in vain for its last part; by age alone heavy parts would be sent again. The cancelled call
+// may still be out for a moment.
 bool Brain::State::lost(const Query& q, const Leaf& leaf, double now) {
   return may_cancel && may_copy && std::all_of(leaf.calls.begin(), leaf.calls.end(), [&](const Call& call) {
-           return !pending(call) || (at(call.node).suspect && at(call.node).answered < call.sent &&
-                                     now >= call.sent + of(q).lost + excess(leaf));
+           const auto& node = at(call.node);
+           return !pending(call) ||
+                  ((overtaken(node, call.sent, now) || (node.suspect && node.answered < call.sent)) &&
+                   now >= call.sent + of(q).lost + excess(leaf));
          });
 }
 
@@ -723,6 +751,8 @@
   const auto good = call.outcome == Outcome::success;
   const auto bound = call.outcome == Outcome::cancelled || call.outcome == Outcome::timed_out;
   if (!bound) node.answered = now;
+  if (bound && stray(node, call.sent, now)) return;
+  if (good) node.served = std::max(node.served, call.sent);
   // A full node is strain though it answers at once: without this a fleet that turns most parts away looked
   // idle.
   if (call.outcome == Outcome::overloaded) v.strain.add(now, {1, true});
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -177,6 +177,33 @@
   }
 }
 
+TEST_CASE("a part that later ones have overtaken tells of a lost answer, not of its node") {
+  for (const bool lost : {false, true}) {
+    Rig rig;
+    rig.serve(60, 0.1, 1);
+    auto held = rig.query(1, 3);
+    rig.route(held);
+    const auto node = held.leaves[0].calls[0].node;
+    std::size_t again = 0;
+    int sent = 0;
+    for (int i = 0; i < 8; ++i) {  // the others answer all the while, this one but for the lost answer
+      auto q = rig.query(1, 6);
+      rig.route(q);
+      rig.pass(0.1);
+      for (int j = 0; j < 6; ++j) {
+        const auto here = Rig::leaf(q, j).calls.at(0).node == node;
+        sent += here;
+        if (lost || !here) rig.settle(q, j, Outcome::success);
+      }
+      again += rig.route(held).sends.size();
+      for (int j = 1; j < 3; ++j)
+        if (i == 0) rig.settle(held, j, Outcome::success);
+    }
+    CHECK((sent > 12) == lost);
+    CHECK(again >= 1);  // in both cases it is sent again
+  }
+}
+
 TEST_CASE("a slow way is told from slow nodes and remembered while it is avoided") {
   for (const double late : {0.0, 0.9}) {
     auto s = settings();
