Requests have 2.25 s to arrive; unequal shares, open ids and doubtful lengths get 4xx

The tests fail without it: no 408, 200 for unequal shares, two queries under one id, an active client closed by a crowd.

--- a/src/clients/bodies.cpp
+++ b/src/clients/bodies.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::size_t kLongestWord = 256;  // of an id or a key
 constexpr double kLongestWait = 24 * 3600;
+constexpr double kRounding = 1e-3;  // of the shares' sum
 
 // A word that can stand in a node's line: it must not end it, nor one of its fields.
 std::string word(std::string_view text, const char* what) {
@@ -59,8 +60,10 @@
   if (shard < 0 || shard >= shards || shard != std::floor(shard))
     throw BadRequest(400, "partition is missing or out of range");
   const auto share = number(*object, "share", -1);
-  if (share < 0 || share > 1) throw BadRequest(400, "share is missing or out of range");
-  return {static_cast<int>(shard), share, number(*object, "est_us", 0) / 1e6};
+  if (share <= 0 || share > 1) throw BadRequest(400, "share is missing or out of range");
+  const auto work = number(*object, "est_us", 0) / 1e6;
+  if (work > kLongestWait) throw BadRequest(400, "est_us makes no sense");
+  return {static_cast<int>(shard), share, work};
 }
 
 }  // namespace
@@ -90,10 +93,15 @@
   if (targets == nullptr || !targets->is_array() || targets->get_array().empty())
     throw BadRequest(400, "targets are missing or no list");
   std::set<int> seen;
+  double sum = 0;
   for (const auto& value : targets->get_array()) {
     ask.targets.push_back(read_target(value, asked.shards));
     if (!seen.insert(ask.targets.back().shard).second) throw BadRequest(400, "a partition is named twice");
+    sum += ask.targets.back().share;
   }
+  // Else an answer would be whole before all of it is in, or never.
+  if (std::abs(sum - 1) > kRounding) throw BadRequest(400, "the shares do not add up to 1");
+  for (auto& named : ask.targets) named.share /= sum;
   return ask;
 }
 
--- a/src/clients/connection.cpp
+++ b/src/clients/connection.cpp
@@ -10,7 +10,19 @@
 namespace {
 
 constexpr std::size_t kLargestHeader = 8 * 1024;
-constexpr double kLinger = 1;  // for which what a client still sends is read, so that it sees the answer
+constexpr std::size_t kLargestDrain = 256 * 1024;  // read after the last answer, so that the client sees it
+constexpr double kLinger = 1;                      // for which that is done
+constexpr double kUnread = 10;     // without a byte of its answer taken, after which a client is gone
+constexpr double kArrival = 2.25;  // for a request to arrive, the first one from the connection's start
+
+// A request without one plain length hides where the next one begins: two readers that go by different
+// headers would pass on, as a request of its own, what stands in the body of another.
+bool framed(const http::request<http::string_body>& request) {
+  const auto lengths = request.count(http::field::content_length);
+  const auto codings = request.count(http::field::transfer_encoding);
+  return lengths + codings <= 1 &&
+         (codings == 0 || boost::beast::iequals(request[http::field::transfer_encoding], "chunked"));
+}
 
 }  // namespace
 
@@ -27,63 +39,102 @@
 void ClientConnection::start() {
   boost::system::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
+  close_at(since_ + kArrival);
   read();
 }
 
+void ClientConnection::close_at(double at) {
+  due_.set(due_key_, at, [weak = weak_from_this()](double) {
+    if (const auto self = weak.lock()) self->late();
+  });
+}
+
+// A connection that says nothing, or half a request, would hold its place for good. What is closed for that
+// was never taken.
+void ClientConnection::late() {
+  const auto self = shared_from_this();
+  if (half_read()) return fail(408, "the request did not arrive in time");
+  close();
+}
+
+// A connection between two requests has no buffer: many clients ask once and keep theirs for good.
 void ClientConnection::read() {
   if (reading_ || state_ == State::closed || in_.free() == 0) return;
   reading_ = true;
-  socket_.async_read_some(in_.space(), [self = shared_from_this()](const auto& error, auto count) {
+  const auto done = [self = shared_from_this()](const auto& error, std::size_t count) {
     self->reading_ = false;
     if (self->state_ == State::closed) return;
     if (error) return self->lost();
     self->in_.commit(count);
     self->take();
     self->read();
+  };
+  if (in_.size() > 0) return socket_.async_read_some(in_.space(), done);
+  in_.release();
+  socket_.async_wait(asio::ip::tcp::socket::wait_read, [this, done](const auto& error) {
+    boost::system::error_code failed = error;
+    const auto count = failed || state_ == State::closed ? 0 : socket_.read_some(in_.space(), failed);
+    done(failed == asio::error::would_block ? boost::system::error_code{} : failed, count);
   });
 }
 
-// Reads what is there as far as one request goes; the next one waits for the answer.
 void ClientConnection::take() {
-  if (state_ == State::lingering) return in_.consume(in_.size());
+  if (state_ == State::lingering) {
+    drained_ += in_.size();
+    in_.consume(in_.size());
+    if (drained_ > kLargestDrain) close();
+    return;
+  }
   while (state_ == State::reading && in_.size() > 0) {
-    if (!parser_) {
-      parser_.emplace();
-      parser_->header_limit(kLargestHeader);
-      parser_->body_limit(kLargestBody);
-      parser_->eager(true);
-    }
+    const auto before = in_.size();
+    take_request();
+    if (in_.size() == before) break;
+  }
+}
+
+// Reads what is there as far as one request goes; the next one waits for the answer.
+void ClientConnection::take_request() {
+  if (!begun_) {
     begun_ = true;
-    boost::system::error_code error;
-    const auto used = parser_->put(in_.data(), error);
-    in_.consume(used);
-    if (error && error != http::error::need_more) {
-      const auto large = error == http::error::body_limit     ? 413
-                         : error == http::error::header_limit ? 431
-                                                              : 400;
-      return fail(large, error.message());
-    }
-    // Two readers that take a request's length from different headers disagree on where the next one begins.
-    if (parser_->is_header_done() && parser_->get().count(http::field::content_length) > 1)
-      return fail(400, "two lengths");
-    if (parser_->is_header_done() && !parser_->is_done() && !continued_ &&
-        boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
-      continued_ = true;
-      out_.put("HTTP/1.1 100 Continue\r\n\r\n");
-      write();
-    }
-    if (!parser_->is_done()) {
-      if (used > 0) continue;
-      if (in_.free() == 0) fail(431, "header too large");
-      return;
+    parser_.emplace();
+    parser_->header_limit(kLargestHeader);
+    parser_->body_limit(kLargestBody);
+    parser_->eager(true);
+    if (served_) {
+      since_ = now();
+      close_at(since_ + kArrival);
     }
-    state_ = State::asked;
-    keep_alive_ = parser_->keep_alive();
-    owner_.asked(*this, parser_->get());
   }
+  boost::system::error_code error;
+  in_.consume(parser_->put(in_.data(), error));
+  if (error && error != http::error::need_more) {
+    const auto status = error == http::error::body_limit     ? 413
+                        : error == http::error::header_limit ? 431
+                                                             : 400;
+    return fail(status, error.message());
+  }
+  if (parser_->is_header_done() && !framed(parser_->get())) return fail(400, "the length is not plain");
+  if (parser_->is_header_done() && !parser_->is_done() && !continued_ &&
+      boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+    continued_ = true;
+    out_.put("HTTP/1.1 100 Continue\r\n\r\n");
+    write();
+  }
+  if (!parser_->is_done()) {
+    if (in_.free() == 0) fail(431, "header too large");
+    return;
+  }
+  state_ = State::asked;
+  due_.drop(due_key_);
+  keep_alive_ = parser_->keep_alive();
+  const auto request = parser_->release();
+  parser_.reset();
+  owner_.asked(*this, request);
 }
 
 void ClientConnection::fail(int status, std::string_view why) {
+  due_.drop(due_key_);
   state_ = State::asked;
   keep_alive_ = false;
   answer(status, why);
@@ -107,14 +158,17 @@
     if (self->state_ == State::closed) return;
     if (error) return self->lost();
     self->out_.consume(count);
-    if (self->out_.size() > 0) return self->write();
-    if (self->state_ == State::answering) self->written();
+    if (self->out_.size() == 0 && self->state_ == State::answering) return self->written();
+    if (self->out_.size() == 0) return;
+    self->close_at(now() + kUnread);
+    self->write();
   });
 }
 
 void ClientConnection::written() {
   out_.release();
   parser_.reset();
+  due_.drop(due_key_);
   begun_ = continued_ = false;
   served_ = true;
   since_ = now();
@@ -128,9 +182,7 @@
   in_.consume(in_.size());
   boost::system::error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  due_.set(due_key_, since_ + kLinger, [weak = weak_from_this()](double) {
-    if (const auto self = weak.lock()) self->close();
-  });
+  close_at(since_ + kLinger);
   read();
 }
 
--- a/src/clients/connection.hpp
+++ b/src/clients/connection.hpp
@@ -36,7 +36,7 @@
   bool idle() const { return state_ == State::reading && !begun_; }
   bool half_read() const { return state_ == State::reading && begun_; }
   bool served() const { return served_; }  // has had an answer
-  double since() const { return since_; }
+  double since() const { return since_; }  // when it came to wait for a request, or for the rest of one
   int id() const { return id_; }
 
  private:
@@ -44,6 +44,9 @@
 
   void read();
   void take();
+  void take_request();
+  void close_at(double at);
+  void late();
   void fail(int status, std::string_view why);
   void write();
   void written();
@@ -61,7 +64,8 @@
   bool reading_ = false;
   bool writing_ = false;
   bool continued_ = false;  // a client that asked whether to send its body has been told to
-  double since_ = 0;        // when it came to be between two requests
+  double since_ = 0;
+  std::size_t drained_ = 0;  // read and thrown away after the last answer
   Ring in_, out_;
   std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
 };
--- a/src/clients/listener.cpp
+++ b/src/clients/listener.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr double kAgain = 0.01;  // until accepting is tried again after an error
+constexpr double kKept = 2;      // the protocol's: after it a connection without a request may be closed
+constexpr double kMute = 0.25;   // in which a client that has a request sends some of it
 
 }  // namespace
 
@@ -60,20 +62,23 @@
   });
 }
 
+// Connections that wait for a request make room, those first that are least likely to bring one: the ones
+// that the protocol lets go, then those that have said nothing yet while others do, then any other. Without
+// that order a crowd that only connects would push the usual clients out.
 bool Listener::make_room() {
-  std::shared_ptr<ClientConnection> oldest;
-  for (const auto& [id, connection] : connections_) {
-    if (!connection->idle() && !connection->half_read()) continue;
-    // One that has been answered goes first: a fresh one most likely holds a request that has not been read
-    // yet.
-    const auto rank = [](const ClientConnection& c) {
-      return std::pair(!(c.idle() && c.served()), c.since());
-    };
-    if (!oldest || rank(*connection) < rank(*oldest)) oldest = connection;
-  }
-  if (!oldest) return false;
+  const auto at = now();
+  const auto rank = [&](const ClientConnection& c) {
+    const auto age = at - c.since();
+    const auto kind = c.idle() && c.served() ? (age >= kKept ? 0 : 2) : age >= kMute ? 1 : 3;
+    return std::pair(kind, c.since());
+  };
+  std::shared_ptr<ClientConnection> first;
+  for (const auto& [id, connection] : connections_)
+    if ((connection->idle() || connection->half_read()) && (!first || rank(*connection) < rank(*first)))
+      first = connection;
+  if (!first) return false;
   log_.line("client_room", "connections={}", connections_.size());
-  oldest->close();
+  first->close();
   return true;
 }
 
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -212,7 +212,10 @@
       clients_.answer(connection, phase_ == Phase::serving ? 200 : 503, name(phase_));
       return;
     }
-    take(connection, read_ask(request, asked_));
+    auto ask = read_ask(request, asked_);
+    // The answers of nodes name it: those to one query would pass for those to the other.
+    if (open_ids_.contains(ask.id)) throw BadRequest(409, "X-Txn names a query that is open");
+    take(connection, std::move(ask));
   } catch (const BadRequest& error) {
     ++figures_.bad;
     log_.line("bad_request", "status={} why=\"{}\"", error.status, error.what());
@@ -240,6 +243,7 @@
   held.key = std::move(ask.key);
   held.id = ask.id;
   by_client_[connection] = number;
+  open_ids_.insert(ask.id);
   ++open_;
   queries_.take(number, std::move(q), at);
   for (const auto& target : ask.targets) {
@@ -264,6 +268,7 @@
 void Router::done_with(long long query) {
   auto& held = held_.at(query);
   by_client_.erase(held.client);
+  open_ids_.erase(held.id);
   open_ -= 1 + static_cast<int>(held.parts.size());
   held.open = false;
   pool_.drop_unsent(query);
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "clients/listener.hpp"
@@ -111,6 +112,7 @@
   int open_ = 0;  // queries and parts in hand
   std::unordered_map<long long, Held> held_;
   std::unordered_map<int, long long> by_client_;
+  std::unordered_set<std::string> open_ids_;  // of the queries whose answer is owed
   std::deque<News> news_;
   std::vector<long long> merged_first_;
   std::unordered_map<std::string, int> nodes_;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -234,11 +234,18 @@
       {"\"partition\":2", "\"partition\":8", 400, true},
       {"\"partition\":2", "\"partition\":.", 400, true},
       {"\"share\":0.5", "\"share\":1.5", 400, true},
+      {"\"share\":0.5", "\"share\":0.4", 400, true},
+      {"\"share\":0.5", "\"share\":1.0", 400, true},
+      {"\"share\":0.5", "\"share\":0.0", 400, true},
       {"{\"targets\"", "[\"targets\"", 400, true},
       {"Content-Length: ", "Content-Length: 9999", 413, false},
       {"Content-Length: ", "Content-Length: x", 400, false},
       {"Host: h\r\n", "Content-Length: 7\r\n", 400, false},
       {"Host: h\r\n", "Transfer-Encoding: chunked\r\n", 400, false},
+      {"\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + good, 400, false},
+      {"Content-Length: ", "Transfer-Encoding: gzip\r\nX: ", 400, false},
+      {"Content-Length: ", "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\nX: ", 400, false},
+      {"Content-Length: ", "Content-Length: -", 400, false},
       {"Host: h\r\n", "broken\r\n", 400, false},
       {"HTTP/1.1", "HTTP/9.1", 400, false},
       {"Host: h\r\n", "Host: " + std::string(9000, 'h') + "\r\n", 431, false},
@@ -264,6 +271,70 @@
   CHECK(town.logged("bad_request"));
 }
 
+TEST_CASE("a connection that brings no request in time is closed, one that has had an answer stays") {
+  Town town;
+  const auto whole = ask("look", {1, 2});
+  const std::string halves[] = {"", "P", "POST /look HTTP/1.1\r\nX-A:", whole.substr(0, whole.size() - 1)};
+  std::vector<std::unique_ptr<Client>> crowd;
+  Client usual(town), dribbler(town);
+  const auto start = now();
+  for (const auto& half : halves) {
+    crowd.push_back(std::make_unique<Client>(town));
+    crowd.back()->say(half);
+  }
+  usual.say(whole);
+  CHECK(usual.answer() == 200);
+  for (std::size_t i = 0; !dribbler.closed && dribbler.got.empty() && i < whole.size(); ++i) {
+    dribbler.say({&whole[i], 1});
+    town.until([] { return false; }, 0.05);
+  }
+  CHECK(dribbler.answer() == 408);
+  for (const auto& client : crowd) {
+    if (client != crowd.front()) CHECK(client->answer() == 408);
+    CHECK(client->ended());
+  }
+  CHECK(now() - start < 3);
+  CHECK(town.parts() == 2);
+  usual.say(whole);
+  CHECK(usual.answer() == 200);
+  CHECK(town.parts() == 4);
+}
+
+TEST_CASE("a body too large to keep is answered though the client sends on, and is not read to its end") {
+  for (const auto* framing :
+       {"Content-Length: 60000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n3938700\r\n"}) {
+    Town town;
+    Client client(town);
+    client.say(std::string("POST /look HTTP/1.1\r\nX-Txn: a\r\nX-Remaining: 4000m\r\n") + framing);
+    const std::string body(60'000'000, ' ');
+    std::size_t sent = 0;
+    bool refused = false;
+    boost::asio::async_write(client.socket, boost::asio::buffer(body), [&](const auto& error, auto count) {
+      sent = count;
+      refused = bool(error);
+    });
+    CHECK(client.ended());
+    CHECK(town.until([&] { return refused; }));
+    CHECK(sent < body.size());
+  }
+}
+
+TEST_CASE("the id of an open query is refused, whosever it is, and the first one goes on") {
+  Town town;
+  std::vector<std::pair<DataNode::Part, std::shared_ptr<toy::Session>>> held;
+  town.each_node([&](const auto& part, auto& from) { held.emplace_back(part, from.shared_from_this()); });
+  Client first(town), second(town);
+  first.say(ask("look", {1}));
+  REQUIRE(town.until([&] { return held.size() == 1; }));
+  second.say(ask("change", {1}));
+  CHECK(second.answer() == 409);
+  CHECK(held.size() == 1);
+  DataNode::answer(*held[0].second, held[0].first, "done", 1, "v");
+  CHECK(first.answer() == 200);
+  second.say(ask("look", {1}));
+  REQUIRE(town.until([&] { return held.size() == 2; }));
+}
+
 TEST_CASE("a copy wins, and the loser is given up") {
   Town town;
   serve(town);
@@ -487,6 +558,19 @@
   CHECK(town.logged("client_room"));
 }
 
+TEST_CASE("a crowd that only connects does not push out a client that is at work") {
+  Town town(3, 64);
+  Client usual(town);
+  std::vector<std::unique_ptr<Client>> crowd;
+  for (int round = 0; round < 8; ++round) {
+    usual.say(ask("look", {1, 2}));
+    REQUIRE(usual.answer() == 200);
+    for (int i = 0; i < 10; ++i) crowd.push_back(std::make_unique<Client>(town));
+    town.until([&] { return usual.closed; }, 0.3);
+  }
+  CHECK(!usual.closed);
+}
+
 TEST_CASE("a node that restarts or moves is reached by new connections") {
   Town town(1);
   serve(town, 2);
