A spoilt answer ends its connection and calls at once, and counts once against its node

Tests: a table of spoilt frames through the whole router for a repeatable and a deduplicated query, an answer cut at each byte, good answers with more behind; the module's, that a sound node stays in use. They fail without it.

--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -71,6 +71,7 @@
   timed_out,
   unreachable,
   broken,
+  spoilt,  // the answer, or another on its connection, could not be read: the node lives, and may have run it
   cancelled,
   unsent
 };
--- a/src/datanodes/connection.cpp
+++ b/src/datanodes/connection.cpp
@@ -40,17 +40,35 @@
 }
 
 void NodeConnection::touch_due(double at) {
-  due_.set(due_key_, at, [weak = weak_from_this()](double) {
+  due_.set(due_key_, at, [weak = weak_from_this()](double now) {
     const auto self = weak.lock();
     if (!self) return;
+    boost::system::error_code ignored;
     if (self->state_ == State::connecting) {
       self->close("connect timeout");
+    } else if (self->half_ && self->socket_.available(ignored) > 0) {
+      self->touch_due(now + self->limits_.connect_timeout);  // the router is behind, not the node
+    } else if (self->half_) {
+      self->spoilt();
     } else if (self->idle()) {
       self->close("idle");
     }
   });
 }
 
+// A frame that stops halfway, or whose length is too long, would swallow the answers behind it. A whole one
+// takes no longer than a connection does to come up.
+void NodeConnection::await_rest() {
+  const auto half = in_.size() > 0;
+  if (half == half_) return;
+  half_ = half;
+  if (half) {
+    touch_due(last_heard_ + limits_.connect_timeout);
+  } else if (!idle()) {
+    due_.drop(due_key_);
+  }
+}
+
 bool NodeConnection::takes(std::span<const OutgoingPart> parts, double now) const {
   if (state_ == State::closed || retired_) return false;
   // What is written to a connection that the node is about to close for being idle ends as a reset.
@@ -120,9 +138,12 @@
     for (;;) {
       const auto state = take_frame(self->in_, frame);
       if (state == FrameState::incomplete) break;
-      if (state == FrameState::broken || !self->take(frame)) return self->close("unusable frame");
+      if (state == FrameState::broken || !self->take(frame)) return self->spoilt();
       if (self->state_ != State::open) return;
     }
+    // Nothing is owed on it: what has come will only stand in the way of the next answer.
+    if (self->in_.size() > 0 && self->idle()) return self->spoilt();
+    self->await_rest();
     self->in_.release();
     self->read();
   });
@@ -133,14 +154,16 @@
   if (frame.letter != 'R') return false;
   const auto answer = read_answer(frame.rest);
   if (!answer) return false;
+  // Behind a length that is too short stands the rest of the value, where a frame should begin. Noise behind
+  // a good answer looks the same: rather send that part again than serve half a value.
+  if (!may_begin_frame(in_)) return false;
   const std::string id(answer->id);
   const auto at = out_.find(id);
-  if (at == out_.end()) {
-    given_up_.erase(id);
-    return true;
-  }
+  // A name that is not known says that the answer which was due is not to be had.
+  if (at == out_.end()) return given_up_.erase(id) > 0 || id == answered_;
   const auto ref = at->second.ref;
   out_.erase(at);
+  answered_ = id;
   owner_.ended(ref, answer->outcome, answer->score, answer->value);
   settle();
   return true;
@@ -152,9 +175,11 @@
   // Where the other machine has vanished its connections stay open and silent, and swallow each new call for
   // as long as the module waits. A new connection comes up or tells soon that it won't.
   const auto silent = last_heard_ < call->second.sent && now - call->second.sent > limits_.connect_timeout;
-  retired_ = retired_ || silent;
   out_.erase(call);
   given_up_.insert(id);
+  // An answer that is never to come would hold its place for good: with half of the places lost the
+  // connection makes way for a new one.
+  retired_ = retired_ || silent || 2 * given_up_.size() > limits_.parts;
   const auto frame = give_up_frame(id);
   if (state_ == State::open && outgoing_.put(frame)) queued_ += frame.size();
   write();
@@ -180,12 +205,12 @@
 }
 
 void NodeConnection::settle() {
-  if (state_ != State::open || !idle()) return;
+  if (state_ != State::open || !idle() || half_) return;
   if (retired_) return close("retired");
   touch_due(last_used_ + limits_.idle_timeout - limits_.connect_timeout);
 }
 
-void NodeConnection::close(std::string_view why) {
+void NodeConnection::close(std::string_view why, Outcome written) {
   if (state_ == State::closed) return;
   state_ = State::closed;
   due_.drop(due_key_);
@@ -195,7 +220,7 @@
   const auto self = shared_from_this();
   // A frame whose last byte was never written cannot have run; any other may have.
   for (const auto& [id, call] : std::exchange(out_, {}))
-    owner_.ended(call.ref, call.written ? Outcome::broken : Outcome::unreachable, 0, {});
+    owner_.ended(call.ref, call.written ? written : Outcome::unreachable, 0, {});
   owner_.closed(*this, why);
 }
 
--- a/src/datanodes/connection.hpp
+++ b/src/datanodes/connection.hpp
@@ -57,7 +57,7 @@
   void give_up(const std::string& id, double now);
   bool unsend(const std::string& id);  // whether no byte of it has gone; it never will then
   void retire();                       // nothing new; closed once no call is out
-  void close(std::string_view why);
+  void close(std::string_view why, Outcome written = Outcome::broken);
 
   int node() const { return node_; }
   bool idle() const { return out_.empty(); }
@@ -80,6 +80,8 @@
   void write();
   void pump();
   bool take(const Frame& frame);
+  void spoilt() { close("unusable frame", Outcome::spoilt); }
+  void await_rest();
   void settle();  // after a call has ended: closes or waits idle
   void touch_due(double at);
 
@@ -100,6 +102,8 @@
   std::size_t queued_ = 0, written_ = 0;           // bytes since the start
   std::unordered_map<std::string, Call> out_;
   std::unordered_set<std::string> given_up_;  // whose answers may still come
+  std::string answered_;                      // the last one
+  bool half_ = false;                         // a frame has begun to come
 };
 
 }  // namespace yoketurn
--- a/src/datanodes/frames.cpp
+++ b/src/datanodes/frames.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
@@ -43,13 +44,25 @@
   return frame('C', id);
 }
 
+bool may_begin_frame(const Ring& ring) {
+  std::array<char, kLengthBytes + 1> head{};
+  const auto there = std::min(ring.size(), head.size());
+  if (there == 0) return true;
+  ring.peek(0, head.data(), there);
+  std::size_t length = 0;
+  for (std::size_t i = 0; i < kLengthBytes; ++i) length = length << 8 | static_cast<unsigned char>(head[i]);
+  // Bytes that are not there yet read as 0: the length is at least this.
+  if (length + kLengthBytes > kLargestFrame || (there >= kLengthBytes && length == 0)) return false;
+  return there < head.size() || std::string_view("SCRFHM").find(head.back()) != std::string_view::npos;
+}
+
 FrameState take_frame(Ring& ring, Frame& result) {
+  if (!may_begin_frame(ring)) return FrameState::broken;
   if (ring.size() < kLengthBytes) return FrameState::incomplete;
   std::array<char, kLengthBytes> head{};
   ring.peek(0, head.data(), head.size());
   std::size_t length = 0;
   for (const auto byte : head) length = length << 8 | static_cast<unsigned char>(byte);
-  if (length == 0 || length + kLengthBytes > kLargestFrame) return FrameState::broken;
   if (ring.size() < kLengthBytes + length) return FrameState::incomplete;
   ring.peek(kLengthBytes, &result.letter, 1);
   result.rest.resize(length - 1);
@@ -64,6 +77,9 @@
   auto line = rest.substr(0, end);
   PartAnswer answer;
   answer.value = rest.substr(end + 1);
+  // A length that is too long takes in the head of the next frame.
+  if (std::any_of(answer.value.begin(), answer.value.end(), [](unsigned char c) { return c < ' '; }))
+    return std::nullopt;
   answer.id = word(line);
   const auto how = word(line);
   const auto score = word(line);
--- a/src/datanodes/frames.hpp
+++ b/src/datanodes/frames.hpp
@@ -34,6 +34,8 @@
 enum class FrameState { incomplete, whole, broken };
 FrameState take_frame(Ring& ring, Frame& frame);
 
+bool may_begin_frame(const Ring& ring);  // whether what stands there can be the first bytes of a frame
+
 struct PartAnswer {
   std::string_view id;
   Outcome outcome = Outcome::failure;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -293,6 +293,29 @@
   }
 }
 
+TEST_CASE("spoilt answers leave a sound node in use, one that spoils all it answers is left out") {
+  for (const bool all : {false, true}) {
+    Rig rig;
+    rig.serve(30, 0.1);
+    int sent = 0;
+    for (int i = 0; i < 60; ++i) {
+      auto q = rig.query(1, 8);
+      bool spoilt = all || i % 3 == 0;  // then all that is out at the node ends at once
+      for (const auto& send : rig.route(q).sends)
+        if (send.node == 0) {
+          ++sent;
+          if (spoilt) rig.settle(q, send.leaf, Outcome::spoilt);
+        }
+      rig.pass(0.1);
+      for (std::size_t j = 0; j < q.leaves.size(); ++j)
+        if (!q.leaves[j].calls.empty() && q.leaves[j].calls.back().outcome == Outcome::pending)
+          rig.settle(q, static_cast<int>(j), Outcome::success);
+    }
+    CHECK((sent > 100) == !all);
+    CHECK((sent < 40) == all);
+  }
+}
+
 TEST_CASE("a suspect node is tried again rarely") {
   Rig rig;
   rig.serve(30, 0.1);
--- a/tests/network_test.cpp
+++ b/tests/network_test.cpp
@@ -88,6 +88,7 @@
       {"9b.3 splendid 0 -\n", false, Outcome::failure, 0, ""},
       {"9b.3 done x -\n", false, Outcome::failure, 0, ""},
       {"9b.3 done inf -\n", false, Outcome::failure, 0, ""},
+      {"9b.3 done 1 -\nval\x01ue", false, Outcome::failure, 0, ""},
       {"9b.3 done", false, Outcome::failure, 0, ""},
       {"\n", false, Outcome::failure, 0, ""},
   };
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -141,6 +141,13 @@
       vertical, id, remaining, body.size(), body);
 }
 
+// An answer whose length is off by so much.
+std::string spoilt(const DataNode::Part& part, int by) {
+  auto bytes = frame('R', part.id + " done 1 -\nq@1");
+  bytes[3] = static_cast<char>(bytes[3] + by);
+  return bytes;
+}
+
 const std::string kMerged =
     R"({"whole":true,"results":[{"partition":1,"value":"q@1"},{"partition":2,"value":"q@2"}]})";
 
@@ -373,7 +380,26 @@
       {"sends F", [](auto&, auto& from) { from.say(frame('F', "no")); }, 200},
       {"sends too large a frame", [](auto&, auto& from) { from.say(std::string("\x7f\xff\xff\xffR", 5)); },
        200},
-      {"sends half a frame",
+      {"answers for another part and stays",
+       [](auto& part, auto& from) {
+         auto other = part;
+         other.id += "7";
+         DataNode::answer(from, other, "done", 1, "wrong");
+       },
+       200},
+      {"cuts the value by its length", [](auto& part, auto& from) { from.say(spoilt(part, -2)); }, 200},
+      {"cuts all of the value", [](auto& part, auto& from) { from.say(spoilt(part, -3)); }, 200},
+      {"tells too long a length", [](auto& part, auto& from) { from.say(spoilt(part, 9)); }, 200},
+      {"takes the head of the next frame for its value",
+       [](auto& part, auto& from) { from.say(spoilt(part, 2) + frame('R', "x done 1 -\nv")); }, 200},
+      {"sends a line without end", [](auto& part, auto& from) { from.say(frame('R', part.id + " done")); },
+       200},
+      {"sends an unknown end", [](auto& part, auto& from) { from.say(frame('R', part.id + " gone 1 -\nv")); },
+       200},
+      {"sends a few bytes of noise", [](auto&, auto& from) { from.say("no"); }, 200},
+      {"sends a frame that stops halfway",
+       [](auto& part, auto& from) { from.say(frame('R', part.id + " done 1 -\nq@1").substr(0, 9)); }, 200},
+      {"sends half a frame and ends",
        [](auto& part, auto& from) {
          from.say(frame('R', part.id + " done 1 -\nq@1").substr(0, 9));
          from.close();
@@ -392,10 +418,56 @@
           row.act(part, from);
         };
       Client client(town);
+      const auto start = now();
       client.say(ask(vertical, {1}));
       CHECK(client.answer() == row.change);
+      CHECK(now() - start < 0.9);  // as soon as it is known, not when the call's time is over
+      CHECK(client.body == R"({"whole":true,"results":[{"partition":1,"value":"q@1"}]})");
+    }
+  }
+}
+
+TEST_CASE("good answers with more behind them count, and so does what the connection brings afterwards") {
+  const std::function<std::string(const std::string&, const std::string&)> more[] = {
+      [](const auto& good, const auto&) { return good + good; },
+      [](const auto& good, const auto&) { return good + good + good.substr(0, 7); },
+      [](const auto&, const auto& id) { return frame('R', id + " done 1 inflight=?;,=x =\nq@1"); },
+      [](const auto&, const auto& id) { return frame('R', id + " done 1\nq@1"); },
+  };
+  for (const auto& say : more) {
+    Town town(1);
+    for (int i = 0; i < 3; ++i) {
+      town.nodes[0]->on_part = [&](const auto& part, auto& from) {
+        from.say(say(frame('R', part.id + " done 1 -\nq@1"), part.id));
+      };
+      Client client(town);
+      client.say(ask("look", {1}, "t" + std::to_string(i)));
+      CHECK(client.answer() == 200);
       CHECK(client.body == R"({"whole":true,"results":[{"partition":1,"value":"q@1"}]})");
     }
+    CHECK(town.parts() == 3);
+  }
+}
+
+TEST_CASE("what is out beside a spoilt answer is told at once, and an answer cut anywhere is never served") {
+  const auto length = frame('R', "t0.1 done 1 -\nq@1").size();
+  for (std::size_t cut = 1; cut < length; ++cut) {
+    CAPTURE(cut);
+    Town town(1);
+    int spoil = 2;  // the first part waits for good, the second one is cut
+    town.nodes[0]->on_part = [&, usual = town.nodes[0]->on_part](const auto& part, auto& from) {
+      if (spoil > 0 && --spoil == 0) from.say(frame('R', part.id + " done 1 -\nq@1").substr(0, cut));
+      if (spoil == 0 && part.id.starts_with("n")) usual(part, from);
+    };
+    Client first(town), second(town);
+    const auto start = now();
+    first.say(ask("change", {1}, "t0"));
+    REQUIRE(town.until([&] { return town.parts() == 1; }));
+    second.say(ask("change", {1}, "t1"));
+    REQUIRE(town.until([&] { return town.nodes[0]->open() == 0; }));
+    CHECK(now() - start < 0.6);
+    CHECK(first.got.empty());
+    CHECK(second.got.empty());
   }
 }
 
