--- a/src/datanodes/connection.cpp
+++ b/src/datanodes/connection.cpp
@@ -169,21 +169,24 @@
   return true;
 }
 
-void NodeConnection::give_up(const std::string& id, double now) {
+bool NodeConnection::give_up(const std::string& id) {
   const auto call = out_.find(id);
-  if (call == out_.end()) return;
-  // Where the other machine has vanished its connections stay open and silent, and swallow each new call for
-  // as long as the module waits. A new connection comes up or tells soon that it won't.
-  const auto silent = last_heard_ < call->second.sent && now - call->second.sent > limits_.connect_timeout;
+  if (call == out_.end()) return false;
+  // Where the other machine has vanished, or the way to it, its connections stay open and silent, and swallow
+  // each new call for as long as the module waits, which then takes the node for silent too. A new connection
+  // comes up or tells soon that it won't; to a node that is merely slow it costs a handshake.
+  const auto silent = last_heard_ < call->second.sent;
   out_.erase(call);
   given_up_.insert(id);
   // An answer that is never to come would hold its place for good: with half of the places lost the
   // connection makes way for a new one.
-  retired_ = retired_ || silent || 2 * given_up_.size() > limits_.parts;
+  const auto leaves = !retired_ && (silent || 2 * given_up_.size() > limits_.parts);
+  retired_ = retired_ || leaves;
   const auto frame = give_up_frame(id);
   if (state_ == State::open && outgoing_.put(frame)) queued_ += frame.size();
   write();
   settle();
+  return leaves;
 }
 
 bool NodeConnection::unsend(const std::string& id) {
--- a/src/datanodes/connection.hpp
+++ b/src/datanodes/connection.hpp
@@ -54,9 +54,9 @@
   bool takes(std::span<const OutgoingPart> parts, double now) const;
   void send(std::vector<OutgoingPart> parts, double now);
   // The call is told of no more. Answers to it that still come are dropped.
-  void give_up(const std::string& id, double now);
-  bool unsend(const std::string& id);  // whether no byte of it has gone; it never will then
-  void retire();                       // nothing new; closed once no call is out
+  bool give_up(const std::string& id);  // whether the connection takes no new calls from now on
+  bool unsend(const std::string& id);   // whether no byte of it has gone; it never will then
+  void retire();                        // nothing new; closed once no call is out
   void close(std::string_view why, Outcome written = Outcome::broken);
 
   int node() const { return node_; }
--- a/src/datanodes/pool.cpp
+++ b/src/datanodes/pool.cpp
@@ -20,13 +20,21 @@
     for (const auto& connection : std::vector(node.connections)) connection->close("stopped");
 }
 
-void Pool::locate(int node, const boost::asio::ip::tcp::endpoint& at, double born) {
+void Pool::locate(int node, const boost::asio::ip::tcp::endpoint& at, double born, bool up) {
   if (nodes_.size() <= static_cast<std::size_t>(node)) nodes_.resize(static_cast<std::size_t>(node) + 1);
   auto& known = nodes_[static_cast<std::size_t>(node)];
   if (known.at == at && known.born == born) return;
   known.at = at;
   known.born = born;
   leave(node);  // what is open leads to a process that is no more
+  if (up) open_ahead(node);
+}
+
+// A new connection keeps its first part for as long as its handshake takes, and no giving up can overtake
+// that: the part would be taken up after its query has had its answer. So it is opened before there is a part
+// for it.
+void Pool::open_ahead(int node) {
+  if (open_ < most_connections_) open(node);
 }
 
 void Pool::leave(int node) {
@@ -66,6 +74,11 @@
   for (const auto& connection : known.connections)
     if (connection->takes(parts, now)) return connection;
   if (open_ >= most_connections_ && !make_room()) return nullptr;
+  return open(node);
+}
+
+std::shared_ptr<NodeConnection> Pool::open(int node) {
+  auto& known = nodes_.at(static_cast<std::size_t>(node));
   const auto fresh =
       std::make_shared<NodeConnection>(context_, due_, limits_, static_cast<Owner&>(*this), node);
   known.connections.push_back(fresh);
@@ -90,7 +103,8 @@
   if (at == out_.end()) return;
   const auto connection = at->second.connection.lock();
   if (connection && !connection->unsend(at->second.id)) {
-    connection->give_up(at->second.id, now());
+    const auto node = connection->node();
+    if (connection->give_up(at->second.id)) open_ahead(node);
   } else {
     outcome = outcome == Outcome::timed_out ? Outcome::unreachable : Outcome::unsent;
   }
--- a/src/datanodes/pool.hpp
+++ b/src/datanodes/pool.hpp
@@ -25,7 +25,7 @@
        std::size_t most_connections, Log& log, Listener& listener);
   ~Pool();
 
-  void locate(int node, const boost::asio::ip::tcp::endpoint& at, double born);
+  void locate(int node, const boost::asio::ip::tcp::endpoint& at, double born, bool up);
   void leave(int node);  // its connections are closed once no call is out on them
   // Parts of one group that are given in one turn travel as one call.
   void send(int node, int group, OutgoingPart part, double timeout);
@@ -49,6 +49,8 @@
   void ended(const CallRef& ref, Outcome outcome, double score, std::string_view value) override;
   void closed(NodeConnection& connection, std::string_view why) override;
   std::shared_ptr<NodeConnection> connection_for(int node, std::span<const OutgoingPart> parts, double now);
+  std::shared_ptr<NodeConnection> open(int node);
+  void open_ahead(int node);
   bool make_room();
 
   boost::asio::io_context& context_;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -394,7 +394,7 @@
     if (member.gone) {
       pool_.leave(node);
     } else {
-      pool_.locate(node, member.at, born);
+      pool_.locate(node, member.at, born, member.up);
     }
     if (member.up) ++ready;
   }
