The number of a node that is gone is given again, and nothing is believed of the next

Changed: a node that is gone gives its number back at a tick, once no connection to it is open and no outcome waits; the module forgets it. Connections are opened ahead up to half of their bound only. Tests: 30,000 names pass at 64 descriptors; of a node that is gone nothing is believed.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -272,6 +272,11 @@
   State(const Settings& s, std::uint64_t seed, double now);
 
   VerticalState& of(const Query& q) { return verticals[static_cast<std::size_t>(q.vertical)]; }
+  Node unheard() const {
+    Node node;
+    node.sent = Tally(fall_time);
+    return node;
+  }
   Node& at(int node) { return nodes[static_cast<std::size_t>(node)]; }
 
   double slo_end(const Query& q) {
@@ -863,11 +868,9 @@
   auto& s = *s_;
   if (complete)
     for (auto& node : s.nodes) node.up = false;
-  Node unheard;
-  unheard.sent = Tally(s.fall_time);
   for (const auto& host : hosts) {
     if (host.cell < 0 || host.cell >= s.cells) continue;
-    s.nodes.resize(std::max(s.nodes.size(), static_cast<std::size_t>(host.node) + 1), unheard);
+    s.nodes.resize(std::max(s.nodes.size(), static_cast<std::size_t>(host.node) + 1), s.unheard());
     auto& node = s.at(host.node);
     auto& cell = s.by_cell[static_cast<std::size_t>(host.cell)];
     if (std::find(cell.begin(), cell.end(), host.node) == cell.end()) {
@@ -887,6 +890,12 @@
   s.ask_after = kNever;
 }
 
+void Brain::forget(int node) {
+  auto& known = s_->at(node);
+  std::erase(s_->by_cell[static_cast<std::size_t>(known.cell)], node);
+  known = s_->unheard();
+}
+
 void Brain::list_failed(double now) {
   s_->ask_after = now + kListAgain;
 }
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -144,6 +144,7 @@
 
   void take(int requests, double now);  // so many queries and parts came in
   void list(std::span<const Host> hosts, bool complete);
+  void forget(int node);  // gone, with nothing out there: the next of this number is unheard of
   void list_failed(double now);
   bool tick(double now);  // whether the list must be asked for
   double period() const;
--- a/src/datanodes/pool.cpp
+++ b/src/datanodes/pool.cpp
@@ -23,7 +23,7 @@
 void Pool::locate(int node, const boost::asio::ip::tcp::endpoint& at, double born, bool up) {
   if (nodes_.size() <= static_cast<std::size_t>(node)) nodes_.resize(static_cast<std::size_t>(node) + 1);
   auto& known = nodes_[static_cast<std::size_t>(node)];
-  if (known.at == at && known.born == born) return;
+  if (known.at == at && known.born == born) return;  // of a number's former node nothing is open any more
   known.at = at;
   known.born = born;
   leave(node);  // what is open leads to a process that is no more
@@ -34,7 +34,7 @@
 // that: the part would be taken up after its query has had its answer. So it is opened before there is a part
 // for it.
 void Pool::open_ahead(int node) {
-  if (open_ < most_connections_) open(node);
+  if (2 * open_ < most_connections_) open(node);
 }
 
 void Pool::leave(int node) {
@@ -43,6 +43,11 @@
     connection->retire();
 }
 
+bool Pool::holds(int node) const {
+  return static_cast<std::size_t>(node) < nodes_.size() &&
+         !nodes_[static_cast<std::size_t>(node)].connections.empty();
+}
+
 void Pool::send(int node, int group, OutgoingPart part, double timeout) {
   const auto ref = part.ref;
   auto& out = out_[ref];
--- a/src/datanodes/pool.hpp
+++ b/src/datanodes/pool.hpp
@@ -26,7 +26,8 @@
   ~Pool();
 
   void locate(int node, const boost::asio::ip::tcp::endpoint& at, double born, bool up);
-  void leave(int node);  // its connections are closed once no call is out on them
+  void leave(int node);        // its connections are closed once no call is out on them
+  bool holds(int node) const;  // a connection to it
   // Parts of one group that are given in one turn travel as one call.
   void send(int node, int group, OutgoingPart part, double timeout);
   void flush();
--- a/src/queries/queries.hpp
+++ b/src/queries/queries.hpp
@@ -30,6 +30,7 @@
   Queries(const Settings& settings, std::uint64_t seed, double now, DueTimes& due, Actions& actions);
 
   void list(std::span<const Host> hosts, bool complete) { brain_.list(hosts, complete); }
+  void forget_node(int node) { brain_.forget(node); }
   void list_failed(double now) { brain_.list_failed(now); }
   bool tick(double now) { return brain_.tick(now); }
   double period() const { return brain_.period(); }
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -149,6 +149,7 @@
   log_.sum_up(at);
   tell_figures(at);
   turn();
+  let_go();
   tick_timer_.expires_after(until(next_tick_));
   tick_timer_.async_wait([this](const auto& error) {
     if (!error) tick();
@@ -383,24 +384,27 @@
   std::set<int> present;
   std::size_t ready = 0;
   for (const auto& member : list.members) {
-    if (!nodes_.contains(member.id) && nodes_.size() >= kMostNodes) {
+    if (member.gone && !nodes_.contains(member.id)) continue;
+    const auto node = number_of(member.id);
+    if (node == kNone) {
       log_.line("node_unknown", "id={} known={}", member.id, nodes_.size());
       continue;
     }
-    const auto node = nodes_.try_emplace(member.id, static_cast<int>(nodes_.size())).first->second;
     const auto born = member.started > 0 ? member.started - unix_at_zero_ : 0;
     hosts.push_back({node, look_up(zones_, member.zone), member.cell, member.up, born});
     present.insert(node);
     if (member.gone) {
       pool_.leave(node);
+      leaving_.emplace(member.id, node);
     } else {
       pool_.locate(node, member.at, born, member.up);
+      leaving_.erase(member.id);
     }
     if (member.up) ++ready;
   }
   if (list.full)
     for (const auto& [id, node] : nodes_)
-      if (!present.contains(node)) pool_.leave(node);
+      if (!present.contains(node) && leaving_.emplace(id, node).second) pool_.leave(node);
   queries_.list(hosts, list.full);
   log_.line("list", "version={} full={} entries={} ready={}", list.version, list.full, list.members.size(),
             ready);
@@ -408,6 +412,31 @@
   wake();
 }
 
+int Router::number_of(const std::string& node) {
+  if (const auto at = nodes_.find(node); at != nodes_.end()) return at->second;
+  if (nodes_.size() >= kMostNodes) return kNone;
+  auto number = static_cast<int>(nodes_.size() + spare_.size());
+  if (!spare_.empty()) {
+    number = spare_.back();
+    spare_.pop_back();
+  }
+  nodes_.emplace(node, number);
+  return number;
+}
+
+// Nodes are replaced by others under new names all day: the number of one that is gone is given again once
+// nothing is out there, else tables and the work on them would grow without end.
+void Router::let_go() {
+  if (!news_.empty()) return;  // their queries have not been told of it yet
+  std::erase_if(leaving_, [this](const auto& gone) {
+    if (pool_.holds(gone.second)) return false;
+    queries_.forget_node(gone.second);
+    spare_.push_back(gone.second);
+    nodes_.erase(gone.first);
+    return true;
+  });
+}
+
 void Router::watch_lost() {
   queries_.list_failed(now());
 }
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -80,6 +80,8 @@
   void left(int connection) override;
   void listed(const MemberList& list) override;
   void watch_lost() override;
+  int number_of(const std::string& node);  // kNone: there is no room for it
+  void let_go();
 
   void take(int connection, Ask ask);
   void take_second_step(long long query, double at);
@@ -116,6 +118,8 @@
   std::deque<News> news_;
   std::vector<long long> merged_first_;
   std::unordered_map<std::string, int> nodes_;
+  std::unordered_map<std::string, int> leaving_;  // those of them that are gone
+  std::vector<int> spare_;                        // numbers that nodes have had
   Figures figures_;
   double figures_at_ = 0;
 
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -391,6 +391,27 @@
   }
 }
 
+TEST_CASE("of a node that is gone nothing is believed of the next one under its number") {
+  Rig rig;
+  rig.serve(30, 0.1);
+  for (int i = 0; i < 3; ++i) {
+    auto q = rig.query(0, 1);
+    for (const int other : {1, 2}) rig.hosts[static_cast<std::size_t>(other)].up = false;
+    rig.brain.list(rig.hosts, true);
+    rig.route(q);
+    rig.settle(q, 0, Outcome::failure);
+  }
+  rig.hosts[0].up = false;
+  rig.hosts[1].up = rig.hosts[2].up = true;
+  rig.brain.list(rig.hosts, true);
+  rig.brain.forget(0);
+  rig.pass(0.1);
+  CHECK(rig.serve(6, 0.1)[0] == 0);
+  rig.hosts[0].up = true;
+  rig.brain.list(rig.hosts, true);
+  CHECK(rig.serve(6, 0.1)[0] > 0);
+}
+
 TEST_CASE("rule 3: a draining or missing node gets nothing") {
   for (const bool complete : {false, true}) {
     Rig rig;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -685,6 +685,27 @@
   serve(town, 1);
 }
 
+TEST_CASE("twenty-five thousand names of nodes pass, and the last ones are as good as the first") {
+  Town town(3, 64);
+  Client client(town);
+  for (int version = 2; version <= 7; ++version) {
+    std::vector<std::string> entries;
+    for (int i = 0; i < 5000; ++i)
+      entries.push_back(
+          toy::Discovery::entry(fmt::format("s-{}-{}", version, i), town.nodes[0]->at(), i % 3));
+    town.discovery.tell(toy::Discovery::list(version, true, entries));
+    REQUIRE(town.until([&] { return town.logged(fmt::format("version={} ", version)); }));
+    town.until([] { return false; }, 0.2);  // the next tick lets the former ones go
+    client.say(ask("look", {1, 2, 3}, "t" + std::to_string(version)));
+    CHECK(client.answer() == 200);
+  }
+  CHECK(!town.logged("node_unknown"));
+  town.discovery.tell(town.list(8, true));
+  REQUIRE(town.until([&] { return town.logged("version=8 "); }));
+  serve(town);
+  CHECK(town.nodes[2]->parts.size() > 0);
+}
+
 TEST_CASE("SIGHUP: a new discovery is followed with queries in hand, a broken file changes nothing") {
   Town town;
   std::vector<std::pair<DataNode::Part, std::shared_ptr<toy::Session>>> held;
