--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -825,8 +825,9 @@
     const auto node = s.choose(q, leaf, out, now, best);
     if (node == kNone) continue;
     // A copy helps where the other replica can be expected to answer within the very delay that made
-    // this one late. When all are slow, or the others queue too, it would only add to the load.
-    if (out && best > s.of(q).delay) continue;
+    // this one late. When all are slow, or the others queue too, it would only add to the load. A lost part
+    // has waited for longer, and goes where it can be expected to take less than that.
+    if (out && best > (again ? now - leaf.calls.back().sent : s.of(q).delay)) continue;
     if (again) cancel_pending(answer, leaf, static_cast<int>(i));
     answer.sends.push_back(s.commit(q, static_cast<int>(i), node, copy, now));
   }
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -204,6 +204,22 @@
   }
 }
 
+TEST_CASE("a lost part goes where it takes less than it has waited, though the others have parts waiting") {
+  Rig rig;
+  rig.serve(60, 0.1, 1);
+  auto held = rig.query(1, 1, 30);
+  rig.route(held);
+  const auto silent = held.leaves[0].calls[0].node;
+  rig.pass(1);
+  std::vector<Query> busy;
+  for (int i = 0; i < 6; ++i) {
+    busy.push_back(rig.query(1, 1, 30));
+    rig.route(busy.back());
+  }
+  for (int i = 0; i < 6; ++i) CHECK(busy[static_cast<std::size_t>(i)].leaves[0].calls.at(0).node != silent);
+  CHECK(rig.route(held).sends.size() == 1);
+}
+
 TEST_CASE("a slow way is told from slow nodes and remembered while it is avoided") {
   for (const double late : {0.0, 0.9}) {
     auto s = settings();
