--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -176,7 +176,7 @@
   bool suspect = false;
   double pause = 0;     // between its trials
   double trial_at = 0;  // the next one
-  double spoilt = 0;    // when an answer of its was
+  double broke = 0;     // when a connection to it was last of no further use
   int row_seen = 0;
   int bad_row = 0;                // bad outcomes since the last success
   std::map<int, int> groups;      // calls that wait there, by group, with their parts
@@ -755,11 +755,11 @@
   if (const auto group = node.groups.find(call.group); group != node.groups.end() && --group->second <= 0)
     node.groups.erase(group);
   if (call.outcome == Outcome::unsent) return;
-  // A spoilt answer shows that the node lives, and takes along all that is out on its connection: that counts
-  // once. They come from any node alike, and would else have sound ones left out for a while. A node that
-  // spoils all it answers is still found out.
+  // A connection takes along all that is out on it when it breaks or brings a spoilt answer: that counts
+  // once. Both come from any node alike, and would else have sound ones left out for a while and the others,
+  // with more on each connection, break the more. A node that is bad each time is still found out.
   const auto spoilt = call.outcome == Outcome::spoilt;
-  if (spoilt && std::exchange(node.spoilt, now) == now) return;
+  if ((spoilt || call.outcome == Outcome::broken) && std::exchange(node.broke, now) == now) return;
   const auto good = call.outcome == Outcome::success;
   const auto bound = call.outcome == Outcome::cancelled || call.outcome == Outcome::timed_out;
   if (!bound) node.answered = now;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -309,6 +309,20 @@
   }
 }
 
+TEST_CASE("what ends with one connection is one bad outcome of its node") {
+  for (const auto outcome : {Outcome::spoilt, Outcome::broken, Outcome::failure}) {
+    Rig rig;
+    rig.hosts[1].up = rig.hosts[2].up = false;
+    rig.brain.list(rig.hosts, true);
+    rig.serve(30, 0.1);
+    auto q = rig.query(0, 4);
+    rig.route(q);
+    for (int i = 0; i < 4; ++i) rig.settle(q, i, outcome);
+    auto next = rig.query(0, 1);
+    CHECK(rig.route(next).sends.size() == (outcome == Outcome::failure ? 0 : 1));  // else it is out of reach
+  }
+}
+
 TEST_CASE("spoilt answers leave a sound node in use, one that spoils all it answers is left out") {
   for (const bool all : {false, true}) {
     Rig rig;
