A node of no known cell may go without harm; frame lengths are read in one place

Found on reading the change again. Brain::forget indexed the module's table without a check: a node whose cell is out of range is left out of it, and its going read past the end. A frame's length was decoded in two places, and the verticals' names were read anew at each turn of a loop.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -892,6 +892,8 @@
 }
 
 void Brain::forget(int node) {
+  if (static_cast<std::size_t>(node) >= s_->nodes.size())
+    return;  // its cell made no sense: it was never known
   auto& known = s_->at(node);
   std::erase(s_->by_cell[static_cast<std::size_t>(known.cell)], node);
   known = s_->unheard();
--- a/src/datanodes/frames.cpp
+++ b/src/datanodes/frames.cpp
@@ -19,6 +19,15 @@
   return result;
 }
 
+// Bytes that are not there yet read as 0: the length is at least this.
+std::size_t length_at(const Ring& ring) {
+  std::array<char, kLengthBytes> head{};
+  ring.peek(0, head.data(), std::min(ring.size(), head.size()));
+  std::size_t length = 0;
+  for (const auto byte : head) length = length << 8 | static_cast<unsigned char>(byte);
+  return length;
+}
+
 }  // namespace
 
 std::string frame(char letter, std::string_view rest) {
@@ -45,24 +54,19 @@
 }
 
 bool may_begin_frame(const Ring& ring) {
-  std::array<char, kLengthBytes + 1> head{};
-  const auto there = std::min(ring.size(), head.size());
-  if (there == 0) return true;
-  ring.peek(0, head.data(), there);
-  std::size_t length = 0;
-  for (std::size_t i = 0; i < kLengthBytes; ++i) length = length << 8 | static_cast<unsigned char>(head[i]);
-  // Bytes that are not there yet read as 0: the length is at least this.
-  if (length + kLengthBytes > kLargestFrame || (there >= kLengthBytes && length == 0)) return false;
-  return there < head.size() || std::string_view("SCRFHM").find(head.back()) != std::string_view::npos;
+  if (ring.size() == 0) return true;
+  const auto length = length_at(ring);
+  if (length + kLengthBytes > kLargestFrame || (ring.size() >= kLengthBytes && length == 0)) return false;
+  if (ring.size() <= kLengthBytes) return true;
+  char letter = 0;
+  ring.peek(kLengthBytes, &letter, 1);
+  return std::string_view("SCRFHM").find(letter) != std::string_view::npos;
 }
 
 FrameState take_frame(Ring& ring, Frame& result) {
   if (!may_begin_frame(ring)) return FrameState::broken;
   if (ring.size() < kLengthBytes) return FrameState::incomplete;
-  std::array<char, kLengthBytes> head{};
-  ring.peek(0, head.data(), head.size());
-  std::size_t length = 0;
-  for (const auto byte : head) length = length << 8 | static_cast<unsigned char>(byte);
+  const auto length = length_at(ring);
   if (ring.size() < kLengthBytes + length) return FrameState::incomplete;
   ring.peek(kLengthBytes, &result.letter, 1);
   result.rest.resize(length - 1);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -209,7 +209,8 @@
   b.parts_a_call = read.count("domain.parts_a_call", 1);
   b.connect_timeout = read.seconds("bounds.connect_timeout_us");
   b.idle_timeout = read.seconds("bounds.conn_idle_us");
-  for (std::size_t i = 0; i < names(setup, "classes").size(); ++i)
+  const auto verticals = names(setup, "classes").size();
+  for (std::size_t i = 0; i < verticals; ++i)
     b.longest_wait = std::max(b.longest_wait, read.seconds("classes." + std::to_string(i) + ".deadline_us"));
   return b;
 }
