--- a/examples/toy.cpp
+++ b/examples/toy.cpp
@@ -104,9 +104,7 @@
   double rate_;
 };
 
-}  // namespace
-
-int main(int argc, char** argv) {
+int run(int argc, char** argv) {
   constexpr unsigned short kDiscovery = 18500;
   constexpr unsigned short kNodes = 18601;  // and the ones after it
   constexpr int kMany = 4;
@@ -158,4 +156,17 @@
   };
   std::printf("asked %d, answered %d, p50 %.2f ms, p99 %.2f ms, p99.9 %.2f ms\n", asker->asked, asker->good,
               at(0.5), at(0.99), at(0.999));
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return run(argc, argv);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "yoketurn_toy: can't listen at its ports 18500 and 18601 to 18604: %s\n",
+                 error.what());
+    return 1;
+  }
 }
--- /dev/null
+++ b/rig/day.hpp
@@ -0,0 +1,75 @@
+// A day of the rig as its file tells it, in INFO: the town, its load, and the faults with their times.
+// Times are seconds, rates a second.
+#pragma once
+
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace yoketurn::rig {
+
+struct BadDay : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct SiteOf {
+  std::string name;
+  int nodes = 0, routers = 0;
+  double rate = 0;         // queries its clients ask
+  std::vector<int> cells;  // of its nodes in turn; empty: all in turn
+};
+
+// What a fault is about: all, site:S (its nodes and routers), nodes:S, routers:S, node:S-3, router:S-1,
+// auditor:0;
+// several with a comma. Checked when the day is read.
+struct Fault {
+  std::string what;  // see kFaults in day.cpp
+  std::string of;
+  std::string to;  // of links: the other end, as `of`; empty: all
+  double from = 0, length = 0;
+  double amount = 0;  // a delay, a share, a factor: by what it is
+  double every = 0;   // again after so long, until the day ends; 0: once
+};
+
+struct Vertical {
+  std::string name, semantics;  // safe, keyed, unsafe
+  int parts = 1;
+  double mix = 0, credit = 1;
+  double aim = 0, deadline = 0, window = 0;
+  double least = 1;
+};
+
+struct Day {
+  std::string name;
+  unsigned seed = 1;
+  double seconds = 20;
+  bool plan = true;  // the routers' operators' file switches the plan for sites on
+  int shards = 8, cells = 4, span = 1;
+  double cores = 1, service = 0.02;  // of a node
+  int queue = 40;                    // parts that wait there
+  double cold = 6, start = 0.3, fall_multiple = 2, fall_for = 1;
+  double grace = 1;        // drains
+  double notice = 1.5;     // until a front leaves out a router that is dead
+  double list_late = 0.5;  // until agents tell of what has changed
+  int retries = 1;
+  double backoff = 0.3;
+  double cross = 0.001;  // one way between two sites
+  std::vector<Vertical> verticals;
+  std::vector<SiteOf> sites;
+  std::vector<Fault> faults;
+  std::string operators;  // further lines of the routers' operators' file
+  std::string fleet;      // lines among those of `fleet` there
+  int auditors = 0;       // that look after the routers, each with a store of its own
+  std::string audit;      // lines among those of `audit` in their roll
+  bool orders = false;    // they give orders
+  bool spares = false;    // each router has a second agent, which they know of
+
+  int nodes() const;
+  int routers() const;
+};
+
+Day read_day(std::string_view text, std::string_view name = "day");  // throws BadDay, naming the entry
+Day load_day(const std::string& path);
+
+}  // namespace yoketurn::rig
--- /dev/null
+++ b/rig/plot.hpp
@@ -0,0 +1,15 @@
+// A day's record as a picture: what clients got over time, when the faults were, how many routers held which
+// site for lost. The script is gnuplot's; writing it needs no gnuplot, drawing it does.
+#pragma once
+
+#include <string>
+
+#include "rig/day.hpp"
+#include "rig/record.hpp"
+
+namespace yoketurn::rig {
+
+std::string plot_script(const Record& record, const Day& day, const std::string& svg);
+void draw(const Record& record, const Day& day, const std::string& svg);  // throws std::runtime_error
+
+}  // namespace yoketurn::rig
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -2,8 +2,10 @@
 // Times are seconds on one clock, ids small indices from 0, works seconds of node time.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <span>
 #include <vector>
@@ -84,6 +86,11 @@
   int group = kNone;  // calls of one group travel together
   double sent = 0;
   Outcome outcome = Outcome::pending;
+
+  bool pending() const { return outcome == Outcome::pending; }
+  bool may_have_run() const {
+    return outcome != Outcome::overloaded && outcome != Outcome::unreachable && outcome != Outcome::unsent;
+  }
 };
 
 struct Leaf {
@@ -93,22 +100,8 @@
   int step = 1;
   bool in = false;  // its answer has arrived
   std::vector<Call> calls;
-};
 
-struct Query {
-  int vertical = 0;
-  int customer = kNone;
-  double taken = 0;
-  double expires = 0;
-  double work = 0;  // hint; 0: unknown
-  bool client_retry = false;
-  bool no_room = false;  // there are too many in hand to hold it
-  bool admitted = false;
-  int step = 1;
-  int awaited = 0;           // parts of this step that have not been named yet
-  bool first_whole = false;  // the first step was merged whole
-  bool ended = false;
-  std::vector<Leaf> leaves;
+  bool any_pending() const { return std::any_of(calls.begin(), calls.end(), std::mem_fn(&Call::pending)); }
 };
 
 // Why a choice fell as it did. The three figures are named at each; times are seconds from now.
@@ -146,6 +139,25 @@
   out_of_reach,  // the same: too few of its parts have a node to go to
   time_over,     // share that is in
   cannot_reach,  // share that is in, share that may still come
+  // A node is passed over for its site: the share that this gets, how long ago it was lost.
+  away,
+  shut_out,  // a query ends: this router takes none, or few, for now
+};
+
+struct Query {
+  int vertical = 0;
+  int customer = kNone;
+  double taken = 0;
+  double expires = 0;
+  double work = 0;  // hint; 0: unknown
+  bool client_retry = false;
+  Reason barred = Reason::none;  // why it is not taken, whatever it is worth
+  bool admitted = false;
+  int step = 1;
+  int awaited = 0;           // parts of this step that have not been named yet
+  bool first_whole = false;  // the first step was merged whole
+  bool ended = false;
+  std::vector<Leaf> leaves;
 };
 
 struct Why {
@@ -196,6 +208,14 @@
   double took = 0;  // what is taken for the latency of the call that ended; 0: one was sent
 };
 
+// What a site (a zone of the list) may get, as src/sites believes.
+struct SiteShare {
+  bool lost = false;   // nothing, but for a trial
+  bool trial = false;  // a part may be sent there to see
+  double share = 1;    // of what its nodes would get by their scores
+  double since = 0;    // when it was lost: a process born later is not judged by that
+};
+
 // What is believed of a node.
 enum class Belief : std::uint8_t { unheard, trusted, cold, suspect, on_trial };
 
@@ -220,6 +240,7 @@
   double period() const;
   std::vector<Word> tell();  // to all other routers: what there is to tell since the last call
   void hear(Word word, double now);
+  void believe(std::span<const SiteShare> sites);  // by zone; empty: all are sound
 
   // Has what is passed over and what waits noted from now on, at most kMostJudged an answer.
   void explain(bool on);
--- a/src/commands/timeline.cpp
+++ b/src/commands/timeline.cpp
@@ -177,6 +177,12 @@
   return 0;
 }
 
+int sites(const Options& o) {
+  for (const auto& r : records_of(o))
+    if (r.event.what == What::site) say(fmt::format("{}  {:<16}  {}", iso(r.unix), r.line, sentence(r)));
+  return 0;
+}
+
 int plot(const Options& o) {
   plot_node(records_of(o, o.node), o.node, o.out);
   fmt::print("{}\n", o.out);
@@ -221,6 +227,7 @@
   reason->add_option("--at", o->at, "A moment in ISO");
   reason->add_option("--query", o->query, "The id that the client gave");
   add("departures", "Departures and returns", departures);
+  add("sites", "What was believed of sites, and on what it hung", sites);
   auto* drawn = add("plot", "Draw a node's line as SVG (needs gnuplot)", plot);
   drawn->add_option("node", o->node)->required();
   drawn->add_option("-o,--out", o->out)->required();
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -126,6 +126,7 @@
   if (begin == 0) return;
   body.erase(0, begin);
   await_heartbeat();
+  listener_.watch_heard();
 }
 
 void Watch::on_line(std::string_view line) {
@@ -133,8 +134,8 @@
   if (line.empty()) return;
   try {
     const auto list = read_list(line);
-    if (!list.full && version_ && list.version <= *version_) return;  // known
-    if (!list.full && nonsense_) return;                              // changes to a list that has a gap
+    if (!list.full && version_ && list.version <= *version_) return listener_.passed_over(list);  // known
+    if (!list.full && nonsense_) return;  // changes to a list that has a gap
     nonsense_ = false;
     version_ = list.version;
     listener_.listed(list);
@@ -142,6 +143,7 @@
     log_.line("list_unusable", "why=\"{}\"", error.what());
     nonsense_ = true;
     version_.reset();
+    listener_.unusable();
     lost("nonsense");
   }
 }
--- a/src/discovery/watch.hpp
+++ b/src/discovery/watch.hpp
@@ -23,6 +23,9 @@
     virtual ~Listener() = default;
     virtual void listed(const MemberList& list) = 0;
     virtual void watch_lost() = 0;
+    virtual void watch_heard() = 0;                        // anything, be it a heartbeat
+    virtual void passed_over(const MemberList& list) = 0;  // its count is not above the one held
+    virtual void unusable() = 0;                           // a list that could not be read
   };
 
   Watch(boost::asio::io_context& context, DueTimes& due, const boost::asio::ip::tcp::endpoint& agent,
@@ -31,6 +34,7 @@
 
   void start(std::optional<long long> known_version);
   void follow(const boost::asio::ip::tcp::endpoint& agent);  // in place of the one before, at once
+  void ask_again() { follow(agent_); }                       // the whole list, on a new connection
 
  private:
   struct Connection;
--- /dev/null
+++ b/src/estimates/judgements.hpp
@@ -0,0 +1,28 @@
+// What was passed over for one answer and why, in a bounded list: an account of choices, which steers none.
+#pragma once
+
+#include <vector>
+
+#include "brain.hpp"
+
+namespace yoketurn::policy {
+
+struct Judgements {
+  bool on = false;
+  std::vector<Judged> all;
+  long long left_out = 0;  // for want of room
+
+  void note(int leaf, int node, Why why) {
+    if (!on) return;
+    all.size() < kMostJudged ? all.push_back({leaf, node, kNone, why}) : void(++left_out);
+  }
+  // All from there on were passed over for this node, at this score.
+  void settle(std::size_t from, int chosen, double best) {
+    for (auto i = from; i < all.size(); ++i) {
+      all[i].taken = chosen;
+      if (all[i].why.reason == Reason::dearer) all[i].why.b = static_cast<float>(best);
+    }
+  }
+};
+
+}  // namespace yoketurn::policy
--- a/src/operators/operators.cpp
+++ b/src/operators/operators.cpp
@@ -1,13 +1,16 @@
 #include "operators/operators.hpp"
 
 #include <fmt/format.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <boost/property_tree/info_parser.hpp>
 #include <charconv>
 #include <cmath>
+#include <ctime>
 #include <fstream>
+#include <iomanip>
 #include <map>
 #include <optional>
 #include <set>
@@ -58,6 +61,21 @@
      "False alarms a node and day that may be expected."},
     {"departures.fleet", share, 0.1, 1, "", "50%", "Share of the nodes that makes one event of the fleet."},
     {"departures.most", count, 16, 100'000, "", "4096", "Departures open at once that are kept."},
+    {"sites.on", flag, 0, 0, "", "yes",
+     "Take the loss of a whole site (a zone of the list) for one event, and pace its return."},
+    {"sites.evacuate", name, 0, 0, "", "off", "A site that is to be emptied."},
+    {"sites.over", duration, 1, kDay, "", "30s",
+     "Time in which its share goes down to nothing, and up again afterwards."},
+    {"sites.until", moment, 0, 0, "", "off", "From then on it is filled again; needed with sites.evacuate."},
+    {"fleet.orders", path, 0, 0, "", "off",
+     "Folder in which the auditor leaves an order for this router, as NAME.info."},
+    {"fleet.longest", duration, 1, kDay, "", "15m", "No order is obeyed for longer than this."},
+    {"fleet.alone", flag, 0, 0, "", "no",
+     "Ask for the whole list again, and step aside by chance, on the router's own doubt."},
+    {"fleet.share", share, 0.01, 0.5, "", "10%",
+     "Share of the routers in long doubt that step aside by themselves."},
+    {"fleet.intervals", count, 8, 100'000, "", "512",
+     "Intervals of versions that are kept for readers at timeline.listen."},
 };
 
 struct Unit {
@@ -102,14 +120,15 @@
       return "host:port on loopback, or off";
     case path:
       return "an absolute path, or off";
+    case name:
+      return "a name, or off";
+    case moment:
+      return "a moment in UTC such as 2027-01-31T22:00:00Z, or off";
   }
   return "";
 }
 
-struct Value {
-  double number = 0;
-  std::string text;
-};
+using Value = Given;
 
 std::optional<double> plain(std::string_view text) {
   double value = 0;
@@ -140,6 +159,15 @@
          *port == std::floor(*port);
 }
 
+// Unix time of a moment in UTC, to the second.
+std::optional<double> unix_of(const std::string& text) {
+  std::tm when{};
+  std::istringstream in(text);
+  in >> std::get_time(&when, "%Y-%m-%dT%H:%M:%SZ");
+  if (in.fail() || in.peek() != std::istringstream::traits_type::eof()) return std::nullopt;
+  return static_cast<double>(::timegm(&when));
+}
+
 std::optional<Value> value_of(const Entry& e, const std::string& text) {
   const auto within = [&](std::optional<double> number) -> std::optional<Value> {
     if (!number || *number < e.least || *number > e.most) return std::nullopt;
@@ -177,6 +205,12 @@
     case path:
       if (off) return Value{};
       return text.starts_with('/') ? std::optional(Value{0, text}) : std::nullopt;
+    case name:
+      return off ? Value{} : text.empty() ? std::nullopt : std::optional(Value{0, text});
+    case moment:
+      if (off) return Value{};
+      if (const auto at = unix_of(text)) return Value{*at, text};
+      return std::nullopt;
   }
   return std::nullopt;
 }
@@ -197,9 +231,9 @@
   return row.back();
 }
 
-std::string nearest(std::string_view path) {
+std::string nearest(std::string_view path, std::span<const Entry> table) {
   std::set<std::string> known;
-  for (const auto& e : kEntries) {
+  for (const auto& e : table) {
     known.emplace(e.path);
     known.emplace(e.path.substr(0, e.path.find('.')));
   }
@@ -259,7 +293,7 @@
 
 class Checker {
  public:
-  explicit Checker(std::string_view text) {
+  Checker(std::string_view text, std::span<const Entry> table) : table_(table) {
     for (const auto& [path, line] : places(text)) places_[path].push_back(line);
   }
 
@@ -267,12 +301,13 @@
     for (const auto& [name, child] : tree) {
       const auto path = above.empty() ? name : above + "." + name;
       const auto line = take_place(path);
-      const auto entry = std::find_if(std::begin(kEntries), std::end(kEntries),
-                                      [&](const Entry& e) { return e.path == path; });
-      const auto group = std::any_of(std::begin(kEntries), std::end(kEntries),
+      const auto entry =
+          std::find_if(table_.begin(), table_.end(), [&](const Entry& e) { return e.path == path; });
+      const auto group = std::any_of(table_.begin(), table_.end(),
                                      [&](const Entry& e) { return e.path.starts_with(path + "."); });
-      if (entry == std::end(kEntries) && !group) {
-        problems.push_back({line, path, fmt::format("no such entry; the nearest is {}", nearest(path))});
+      if (entry == table_.end() && !group) {
+        problems.push_back(
+            {line, path, fmt::format("no such entry; the nearest is {}", nearest(path, table_))});
       } else if (!seen_.insert(path).second) {
         problems.push_back({line, path, "stands here a second time"});
       } else if (group) {
@@ -304,6 +339,7 @@
     first_.emplace(path, line);
     return line;
   }
+  std::span<const Entry> table_;
   std::map<std::string, std::vector<int>> places_;
   std::map<std::string, int> first_;
   std::set<std::string> seen_;
@@ -330,11 +366,15 @@
                   number("departures.least"),   number("departures.fails"),  number("departures.flaps"),
                   number("departures.reports"), number("departures.alarms"), number("departures.fleet"),
                   whole("departures.most")};
+  o.sites = {number("sites.on") > 0, of("sites.evacuate").text, number("sites.over"), number("sites.until")};
+  o.fleet = {of("fleet.orders").text, number("fleet.longest"), number("fleet.alone") > 0,
+             number("fleet.share"), whole("fleet.intervals")};
   return o;
 }
 
-constexpr std::size_t kEventOnTheWay = 48;  // bytes, between the loop and the disk
-constexpr std::size_t kReader = 96 * 1024;  // and of a reader of the time line
+constexpr std::size_t kEventOnTheWay = 48;   // bytes, between the loop and the disk
+constexpr std::size_t kInterval = 2 * 1024;  // of versions, with what it holds of nodes
+constexpr std::size_t kReader = 96 * 1024;   // and of a reader of the time line
 
 }  // namespace
 
@@ -342,6 +382,7 @@
   auto sum = log.queue;
   if (!timeline.on) return sum;
   sum += timeline.memory;
+  if (!timeline.listen.empty()) sum += static_cast<std::size_t>(fleet.intervals) * kInterval;
   if (!timeline.listen.empty()) sum += static_cast<std::size_t>(timeline.readers) * kReader;
   if (!segments.folder.empty()) sum += static_cast<std::size_t>(segments.queue) * kEventOnTheWay;
   return sum;
@@ -362,9 +403,12 @@
                          (found.size() > 1 ? fmt::format(" (and {} more)", found.size() - 1) : "")),
       problems(std::move(found)) {}
 
-Operators read_operators(std::string_view text, std::size_t router_memory) {
+namespace {
+
+// Problems of the whole text end it; those of entries are left in the checker.
+Checker walked(std::string_view text, std::span<const Entry> table) {
   if (text.size() > kLargestFile) throw BadOperators({{0, "", "larger than 1 MiB"}});
-  Checker checker(text);
+  Checker checker(text, table);
   for (const auto& [path, line] : places(text))
     if (path.starts_with('#')) throw BadOperators({{line, "", "takes nothing in from other files"}});
   Tree tree;
@@ -375,8 +419,35 @@
     throw BadOperators({{static_cast<int>(error.line()), "", error.message()}});
   }
   checker.walk(tree, "");
+  return checker;
+}
+
+[[noreturn]] void refuse(std::vector<Problem> problems) {
+  std::stable_sort(problems.begin(), problems.end(),
+                   [](const Problem& a, const Problem& b) { return a.line < b.line; });
+  throw BadOperators(std::move(problems));
+}
+
+}  // namespace
+
+std::map<std::string, Given> read_entries(std::string_view text, std::span<const Entry> table) {
+  auto checker = walked(text, table);
+  if (!checker.problems.empty()) refuse(std::move(checker.problems));
+  return std::move(checker.values);
+}
+
+Operators read_operators(std::string_view text, std::size_t router_memory) {
+  auto checker = walked(text, kEntries);
   auto& problems = checker.problems;
   auto result = fill(checker.values);
+  std::string shared;
+  for (const auto& [path, value] : checker.values) {
+    const auto entry = std::find_if(std::begin(kEntries), std::end(kEntries),
+                                    [&](const Entry& e) { return e.path == path; });
+    if (entry->type != EntryType::endpoint && entry->type != EntryType::path)
+      shared += fmt::format("{}={}/{};", path, value.number, value.text);
+  }
+  result.hash = XXH3_64bits(shared.data(), shared.size());
   // A router holds connections and queries beside it: half of the memory is theirs.
   if (router_memory > 0 && result.memory() > router_memory / 2)
     problems.push_back(
@@ -388,16 +459,14 @@
   if (result.segments.total < 2 * result.segments.size)
     problems.push_back(
         {checker.place("segments.total"), "segments.total", "must hold two segments of segments.size"});
+  if (!result.sites.evacuate.empty() && result.sites.until <= 0)
+    problems.push_back({checker.place("sites.evacuate"), "sites.until", "an evacuation needs its end"});
   if (!result.timeline.on)
     for (const auto* path : {"timeline.listen", "timeline.reports", "segments.folder"})
       if (const auto at = checker.values.find(path);
           at != checker.values.end() && (at->second.number > 0 || !at->second.text.empty()))
         problems.push_back({checker.place(path), path, "does nothing while timeline.on is no"});
-  if (!problems.empty()) {
-    std::stable_sort(problems.begin(), problems.end(),
-                     [](const Problem& a, const Problem& b) { return a.line < b.line; });
-    throw BadOperators(problems);
-  }
+  if (!problems.empty()) refuse(std::move(problems));
   return result;
 }
 
@@ -410,7 +479,7 @@
 }
 
 Operators default_operators() {
-  return fill({});
+  return read_operators("");
 }
 
 std::string reference_page() {
--- a/src/operators/operators.hpp
+++ b/src/operators/operators.hpp
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <span>
 #include <stdexcept>
 #include <string>
@@ -50,11 +52,30 @@
     bool operator==(const Leaving&) const = default;
   } departures;
 
+  struct Whole {
+    bool on = false;
+    std::string evacuate;  // a site; empty: none
+    double over = 0;       // seconds in which it is emptied, and filled again
+    double until = 0;      // Unix time from which it is filled again; 0: with no site to evacuate
+    bool operator==(const Whole&) const = default;
+  } sites;
+  struct Fleet {
+    std::string orders;  // folder; empty: no order is obeyed
+    double longest = 0;  // seconds that one may hold
+    bool alone = false;  // acts on its own doubt
+    double share = 0;
+    int intervals = 0;  // of versions, kept for readers
+    bool operator==(const Fleet&) const = default;
+  } fleet;
+
+  std::uint64_t hash =
+      0;  // of what is given, but for addresses and paths: these differ from router to router
+
   bool operator==(const Operators&) const = default;
   std::size_t memory() const;  // all that it asks for, in bytes
 };
 
-enum class EntryType { flag, count, share, figure, duration, size, word, endpoint, path };
+enum class EntryType { flag, count, share, figure, duration, size, word, endpoint, path, name, moment };
 
 struct Entry {
   std::string_view path;  // names from the top, set apart by dots
@@ -67,6 +88,12 @@
 
 std::span<const Entry> entries();
 
+// A value as it stands in a file.
+struct Given {
+  double number = 0;
+  std::string text;
+};
+
 struct Problem {
   int line = 0;  // 0: of the whole
   std::string path, what;
@@ -78,6 +105,10 @@
   std::vector<Problem> problems;
 };
 
+// What stands in the text, by path, checked against another table; what is left out is not there.
+std::map<std::string, Given> read_entries(std::string_view text,
+                                          std::span<const Entry> table);  // throws BadOperators
+
 // All of it or, with every problem there is, nothing. The memory that the router may use is in bytes; 0: not
 // known.
 Operators read_operators(std::string_view text, std::size_t router_memory = 0);  // throws BadOperators
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -18,8 +18,7 @@
   for (const auto& c : s.customers) customers.push_back({c.quota / s.routers, c.quota / s.routers, now});
 }
 
-// The share of its utility that a query can be expected to earn in the time its client leaves it, by how long
-// queries of its vertical have taken of late.
+// The share of its utility that a query can be expected to earn in its time, by how long others of late took.
 double Admission::prospect(const Query& q, Verticals& verticals, double now) {
   auto& v = verticals.of(q);
   auto times = v.query_times.recent(now);
@@ -33,10 +32,9 @@
 
 bool Admission::within_reach(const Query& q, const Verticals& verticals, Nodes& nodes, double now) {
   double reach = 0;
-  for (const auto& leaf : q.leaves) {
-    if (nodes.any_holder(leaf, [&](int i) { return nodes.at(i).up && !nodes.shunned(nodes.at(i), now); }))
+  for (const auto& leaf : q.leaves)
+    if (nodes.any_holder(leaf, [&](int i) { return nodes.within_reach(nodes.at(i), now); }))
       reach += leaf.weight;
-  }
   return reach >= verticals.told(q).least - kRounding;
 }
 
@@ -66,17 +64,15 @@
     if (bucket.level < 1) density *= over_share;
     if (bucket.level >= 1) --bucket.level;
   }
-  // A query with hardly a chance in the time it has (an impatient client, nodes that have become slow) sinks
-  // work for nothing, and its client asks again: a few such clients can bring all nodes down.
+  // A query with hardly a chance in its time sinks work for nothing, and its client asks again.
   const auto reached = within_reach(q, verticals, nodes, now);
   const auto hope = reached ? prospect(q, verticals, now) : 0;
   density *= hope;
   mean_density.add(density);
-  // By Little's law latency grows with what is out. The parts already out foretell the latency of this query
-  // better than answers do, which tell of queries sent before a burst: all routers would let a burst in.
+  // By Little's law latency grows with what is out. Answers tell of queries sent before a burst, and let it
+  // in.
   const auto parts = static_cast<double>(q.leaves.size());
-  // A part for each node is no load.
-  const auto usual = std::max({verticals.typical_out, parts, nodes.up});
+  const auto usual = std::max({verticals.typical_out, parts, nodes.up});  // a part for each node is no load
   const auto foretold = verticals.strain * std::max(1.0, (verticals.out(now) + parts) / usual) *
                         verticals.usual_step(q) / verticals.step_time(q);
   const auto refused = std::clamp((foretold - strain_from) / kStrainRange, 0.0, kMostRefused);
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -1,8 +1,8 @@
 // The three questions: where a part goes and when it gets a copy, what follows an outcome, how long to wait.
-// Interface: brain.hpp. The caller holds queries and timers; it calls list(), tick(), take() for what comes
-// in, route() for each query that is new or due, settle() for each outcome. docs/design.md gives the reasons.
+// Interface: brain.hpp; the caller holds queries and timers. docs/design.md gives the reasons.
 #include "brain.hpp"
 
+#include "estimates/judgements.hpp"
 #include "policy/admission.hpp"
 
 namespace yoketurn {
@@ -16,20 +16,9 @@
 constexpr double kListAgain = 2;      // after a failed call for the list, on average
 constexpr double kListPatience = 10;  // and after one that has not been answered
 
-bool may_have_run(const Call& call) {
-  const auto end = call.outcome;
-  return end != Outcome::overloaded && end != Outcome::unreachable && end != Outcome::unsent;
-}
-bool pending(const Call& call) {
-  return call.outcome == Outcome::pending;
-}
-bool any_pending(const Leaf& leaf) {
-  return std::any_of(leaf.calls.begin(), leaf.calls.end(), pending);
-}
-
 void cancel_pending(Answer& answer, const Leaf& leaf, int index, Reason reason, double now) {
   for (std::size_t i = 0; i < leaf.calls.size(); ++i)
-    if (pending(leaf.calls[i]))
+    if (leaf.calls[i].pending())
       answer.cancels.push_back({index, static_cast<int>(i), why(reason, now - leaf.calls[i].sent)});
 }
 }  // namespace
@@ -39,7 +28,6 @@
   Verticals verticals;
   Admission admission;
   Settings is;
-  bool explains = false;
   std::ranlux24_base chance;
   int next_group = 0;
   Tally firsts{kWindow}, copies{kWindow};
@@ -48,14 +36,14 @@
   double ticked, ask_after;
   double called;          // when the module was last called
   double standstill = 0;  // for how long the router stood still before this round
-  std::vector<Judged> judged;
-  long long unjudged = 0;
+  Judgements judged;
 
   State(const Settings& s, std::uint64_t seed, double now);
   VerticalState& of(const Query& q) { return verticals.of(q); }
   Node& at(int node) { return nodes.at(node); }
+  bool repeatable(const Query& q) const { return verticals.told(q).effect == Effect::repeatable; }
+  bool may_copy(const Query& q) const { return is.may_copy && repeatable(q); }
   void wake(double now);
-  void judge(int leaf, int node, Why why);
   Why barred(const Query& q, const Leaf& leaf, Node& node, double now);
   bool resendable(const Query& q, const Leaf& leaf, double now);
   int choose(const Query& q, int index, bool beside, double now, double& best, Why& because);
@@ -87,11 +75,6 @@
   called = now;
 }
 
-void Brain::State::judge(int leaf, int node, Why why) {
-  if (!explains) return;
-  judged.size() < kMostJudged ? judged.push_back({leaf, node, kNone, why}) : void(++unjudged);
-}
-
 // The one guard that every send passes: why a part may not be sent to a node.
 Why Brain::State::barred(const Query& q, const Leaf& leaf, Node& node, double now) {
   if (q.ended || leaf.in || now >= verticals.last_end(q)) return why(Reason::time_over);  // rule 1
@@ -111,7 +94,7 @@
 bool Brain::State::resendable(const Query& q, const Leaf& leaf, double now) {
   const auto& v = verticals.told(q);
   if (v.effect == Effect::repeatable) return true;
-  const auto first = std::find_if(leaf.calls.begin(), leaf.calls.end(), may_have_run);
+  const auto first = std::find_if(leaf.calls.begin(), leaf.calls.end(), std::mem_fn(&Call::may_have_run));
   if (first == leaf.calls.end()) return true;
   return v.effect == Effect::deduplicated && now < first->sent + v.window - verticals.margin;
 }
@@ -123,7 +106,7 @@
   double next = kNever;
   best = kNever;
   because = why(Reason::none_left);
-  const auto noted = judged.size();
+  const auto noted = judged.all.size();
   const auto tried = [&](int node) {
     return std::any_of(leaf.calls.begin(), leaf.calls.end(), [&](const Call& c) { return c.node == node; });
   };
@@ -141,22 +124,24 @@
       if (other && again) return false;
       const auto bar = other ? why(Reason::tried) : barred(q, leaf, node, now);
       const auto of_node = other || bar.reason == Reason::down || bar.reason == Reason::cold;
-      if (of_node) judge(index, i, bar);
+      if (of_node) judged.note(index, i, bar);
       if (!of_node && bar.reason != Reason::none) because = bar;
       if (bar.reason != Reason::none) return false;
+      const auto by_site = nodes.by_site(node, leaf.calls.empty() && repeatable(q), chance);
+      if (by_site <= 0) return judged.note(index, i, why(Reason::away, now - nodes.site(node)->since)), false;
       const auto shunned = nodes.shunned(node, now);
-      if (shunned && explains)
-        judge(index, i,
-              why(Reason::suspect, nodes.latency(node, now), std::max(node.trial_at - now, 0.0),
-                  static_cast<double>(node.waiting.size())));
+      if (shunned)
+        judged.note(index, i,
+                    why(Reason::suspect, nodes.latency(node, now), std::max(node.trial_at - now, 0.0),
+                        static_cast<double>(node.waiting.size())));
       // A further call at a node under suspicion would most likely be spent in vain and keep it full.
       if (!leaf.calls.empty() && shunned) return false;
-      const auto value = nodes.score(node, now) * (node.zone == nodes.zone ? 1 : 1 + kZoneTie) *
+      const auto value = by_site * nodes.score(node, now) * (node.zone == nodes.zone ? 1 : 1 + kZoneTie) *
                          (1 + 1e-6 * static_cast<double>(chance() % 1000));
       const auto better = value < best;
       next = better ? best : std::min(next, value);
       const auto loser = better ? chosen : i;
-      if (loser != kNone && !(shunned && loser == i)) judge(index, loser, why(Reason::dearer, next));
+      if (loser != kNone && !(shunned && loser == i)) judged.note(index, loser, why(Reason::dearer, next));
       if (better) {
         best = value;
         chosen = i;
@@ -165,26 +150,22 @@
     });
   }
   if (chosen != kNone) because = why(Reason::none, best, next, of(q).delay);
-  for (auto i = noted; i < judged.size(); ++i) {
-    judged[i].taken = chosen;
-    if (judged[i].why.reason == Reason::dearer) judged[i].why.b = static_cast<float>(best);
-  }
+  judged.settle(noted, chosen, best);
   return chosen;
 }
 
 bool Brain::State::copy_due(const Query& q, const Leaf& leaf, double now) {
-  return is.may_copy && verticals.told(q).effect == Effect::repeatable && leaf.calls.size() == 1 &&
-         pending(leaf.calls[0]) && now >= verticals.copy_at(q, leaf) - 1e-6 && now < verticals.slo_end(q);
+  return may_copy(q) && leaf.calls.size() == 1 && leaf.calls[0].pending() &&
+         now >= verticals.copy_at(q, leaf) - 1e-6 && now < verticals.slo_end(q);
 }
 
-// A part is given up and sent again where each call that is out is too old to be slow, at a node that has
-// done parts sent later, or is suspect and has answered nothing since. Else a query whose copies are used up
-// waits in vain for its last part; by age alone heavy parts would go again.
+// A part is sent again where each call that is out went to a site before its loss, or is too old to be slow
+// at a node that has done later ones or is suspect and silent; by age alone heavy parts would go again.
 bool Brain::State::lost(const Query& q, const Leaf& leaf, double now) {
   return is.may_cancel && is.may_copy &&
          std::all_of(leaf.calls.begin(), leaf.calls.end(), [&](const Call& call) {
            const auto& node = at(call.node);
-           return !pending(call) ||
+           return !call.pending() || (nodes.lost(node) && call.sent <= nodes.site(node)->since) ||
                   ((nodes.overtaken(node, call.sent, now) || (node.suspect && node.answered < call.sent)) &&
                    now >= call.sent + of(q).lost + verticals.excess(leaf));
          });
@@ -193,24 +174,24 @@
 // Where a part that is not in goes now, if anywhere.
 void Brain::State::place(const Query& q, int index, Answer& answer, double now) {
   const auto& leaf = q.leaves[static_cast<std::size_t>(index)];
-  const auto out = any_pending(leaf);
+  const auto out = leaf.any_pending();
   const auto sent = firsts.recent(now);
   const auto due = copy_due(q, leaf, now);
   const auto copy = due && copies.recent(now) + 1 <= kCopyShare * sent;
   const auto again = out && !copy && lost(q, leaf, now);
   if (out && !copy && !again)
-    return judge(index, kNone,
-                 due ? why(Reason::copies_spent, copies.recent(now), sent)
-                     : why(Reason::on_time, now - leaf.calls.back().sent, of(q).delay));
+    return judged.note(index, kNone,
+                       due ? why(Reason::copies_spent, copies.recent(now), sent)
+                           : why(Reason::on_time, now - leaf.calls.back().sent, of(q).delay));
   Why because;
   double best = 0;
   const auto node = choose(q, index, out, now, best, because);
-  if (node == kNone) return judge(index, kNone, because);
-  // A copy helps where the other replica can be expected to answer within the very delay that made this one
-  // late. When all are slow, or the others queue too, it would only add to the load. A lost part has waited
-  // for longer, and goes where it can be expected to take less than that.
-  const auto bound = again ? now - leaf.calls.back().sent : of(q).delay;
-  if (out && best > bound) return judge(index, kNone, why(Reason::none_quicker, best, bound));
+  if (node == kNone) return judged.note(index, kNone, because);
+  // A copy helps where the other replica should answer within the delay that made this one late; when all are
+  // slow it adds to the load. A lost part goes where it should take less than it has waited.
+  const auto left = again && nodes.lost(at(leaf.calls.back().node));
+  const auto bound = left ? kNever : again ? now - leaf.calls.back().sent : of(q).delay;
+  if (out && best > bound) return judged.note(index, kNone, why(Reason::none_quicker, best, bound));
   if (again) cancel_pending(answer, leaf, index, Reason::lost_answer, now);
   because.reason = copy                 ? Reason::copy
                    : again              ? Reason::lost_again
@@ -229,6 +210,7 @@
   of(q).waiting.insert({now, verticals.usual_step(q), node_index});
   node.sent.add(now);
   node.credit = std::max(node.credit - 1, 0.0);
+  if (nodes.lost(node)) nodes.sites[static_cast<std::size_t>(node.zone)].trial = false;
   nodes.tell(node_index, 0);
   if (leaf.calls.empty()) {
     firsts.add(now);
@@ -242,10 +224,11 @@
 Answer Brain::State::give_up(const Query& q, Why because) {
   Answer answer;
   // Rule 2: a rejection says that a retry is harmless.
-  const auto harmless = verticals.told(q).effect == Effect::repeatable ||
-                        std::all_of(q.leaves.begin(), q.leaves.end(), [](const Leaf& leaf) {
-                          return std::none_of(leaf.calls.begin(), leaf.calls.end(), may_have_run);
-                        });
+  const auto harmless =
+      verticals.told(q).effect == Effect::repeatable ||
+      std::all_of(q.leaves.begin(), q.leaves.end(), [](const Leaf& leaf) {
+        return std::none_of(leaf.calls.begin(), leaf.calls.end(), std::mem_fn(&Call::may_have_run));
+      });
   answer.end = harmless ? End::reject : End::abort;
   answer.stay_away = is.max_stay_away;
   answer.why = because;
@@ -264,7 +247,7 @@
     second_in = second_in && (leaf.in || leaf.step == 1);
     const auto more = leaf.calls.empty() ||
                       (static_cast<int>(leaf.calls.size()) < is.max_calls && resendable(q, leaf, now));
-    if (leaf.in || any_pending(leaf) || more) possible[step] += leaf.weight;
+    if (leaf.in || leaf.any_pending() || more) possible[step] += leaf.weight;
   }
   if (q.awaited > 0) possible[q.step - 1] = 1;
   Answer answer;
@@ -306,8 +289,7 @@
     node.groups.erase(group);
   if (call.outcome == Outcome::unsent) return;
   // A connection takes along all that is out on it when it breaks or brings a spoilt answer: that counts
-  // once. Both come from any node alike, and would else have sound ones left out for a while and the others,
-  // with more on each connection, break the more. A node that is bad each time is still found out.
+  // once, or sound nodes are left out, and the others, with more on each connection, break the more.
   const auto spoilt = call.outcome == Outcome::spoilt;
   if ((spoilt || call.outcome == Outcome::broken) && std::exchange(node.broke, now) == now) return;
   const auto good = call.outcome == Outcome::success;
@@ -318,7 +300,7 @@
   // A full node is strain though it answers at once: a fleet that turns most parts away would look idle.
   if (call.outcome == Outcome::overloaded) v.strain.add(now, {1, true});
   // What a suspect node holds back tells of that node, not of the others.
-  if (good || (bound && !node.suspect)) {
+  if (good || (bound && !node.suspect && !nodes.lost(node))) {
     v.latencies.add(now, {took, bound});
     if (node.zone != kNone) nodes.ways[static_cast<std::size_t>(node.zone)].latencies.add(now, {took, bound});
     v.strain.add(now, {age / usual_step, bound});
@@ -335,7 +317,7 @@
   // A quick failure counts as the time it costs, not the time it took: else the node would look fast and draw
   // all traffic. A cancelled or overdue call took at least its age.
   const auto value = good ? took : bound ? std::max(took, held) : std::max(v.is.slo, held);
-  nodes.cost.add(value);
+  if (!nodes.lost(node)) nodes.cost.add(value);
   nodes.tell(call.node, value);
   nodes.learn(node, value, good, now);
 }
@@ -349,7 +331,7 @@
 Answer Brain::route(Query& q, double now) {
   auto& s = *s_;
   s.wake(now);
-  s.judged.clear();
+  s.judged.all.clear();
   if (!q.admitted) s.admission.date(q, s.of(q), s.standstill, now);
   auto answer = s.ending(q, now);
   if (answer.end == End::merge_whole || answer.end == End::merge_part ||
@@ -361,7 +343,7 @@
   if (answer.end != End::none || q.awaited > 0) return answer;
   if (!q.admitted) {
     const auto refused =
-        q.no_room ? why(Reason::no_room) : s.admission.refuse(q, s.verticals, s.nodes, s.chance, now);
+        q.barred != Reason::none ? why(q.barred) : s.admission.refuse(q, s.verticals, s.nodes, s.chance, now);
     if (refused.reason != Reason::none) return s.give_up(q, refused);
   }
   q.admitted = true;
@@ -369,11 +351,10 @@
     if (!q.leaves[i].in) s.place(q, static_cast<int>(i), answer, now);
   return answer;
 }
-
 Answer Brain::settle(Query& q, int leaf_index, int call_index, double now) {
   auto& s = *s_;
   s.wake(now);
-  s.judged.clear();
+  s.judged.all.clear();
   auto& leaf = q.leaves[static_cast<std::size_t>(leaf_index)];
   const auto& call = leaf.calls[static_cast<std::size_t>(call_index)];
   s.learn(q, leaf, call, now);
@@ -383,15 +364,13 @@
   if (s.is.may_cancel) cancel_pending(answer, leaf, leaf_index, Reason::race_lost, now);
   return answer;
 }
-
 double Brain::wait(const Query& q, double now) const {
   auto& s = *s_;
   auto due = s.verticals.last_end(q);
   if (now < s.verticals.slo_end(q)) due = std::min(due, s.verticals.slo_end(q));
   for (const auto& leaf : q.leaves) {
     if (leaf.in) continue;
-    const auto copied =
-        leaf.calls.size() == 1 && s.is.may_copy && s.verticals.told(q).effect == Effect::repeatable;
+    const auto copied = leaf.calls.size() == 1 && s.may_copy(q);
     const auto copy = copied ? s.verticals.copy_at(q, leaf) : now;
     due = std::min(due, copy > now ? copy : now + kPeriod);
   }
@@ -400,9 +379,7 @@
 void Brain::take(int requests, double now) {
   s_->taken.add(now, requests);
 }
-
-// Only what discovery says ends the asking: the list known last comes first at every start, and a router that
-// took it for an answer never followed the list, and sent to drained nodes.
+// Only what discovery says ends the asking: taken for it, the list known last led to drained nodes.
 void Brain::list(std::span<const Host> hosts, bool complete, bool told) {
   s_->nodes.list(hosts, complete);
   if (told) s_->ask_after = kNever;
@@ -410,12 +387,10 @@
 void Brain::forget(int node) {
   s_->nodes.forget(node);
 }
-
 void Brain::list_failed(double now) {
   // Many routers that were turned away together must not come back together.
   s_->ask_after = now + kListAgain * std::uniform_real_distribution<>(0.5, 1.5)(s_->chance);
 }
-
 bool Brain::tick(double now) {
   auto& s = *s_;
   s.wake(now);
@@ -445,17 +420,19 @@
 void Brain::hear(Word word, double now) {
   s_->nodes.hear(word, now);
 }
+void Brain::believe(std::span<const SiteShare> sites) {
+  s_->nodes.believe(sites);
+}
 void Brain::explain(bool on) {
-  s_->explains = on;
-  s_->judged.reserve(kMostJudged);
+  s_->judged.on = on;
+  s_->judged.all.reserve(kMostJudged);
 }
 std::span<const Judged> Brain::judged() const {
-  return s_->judged;
+  return s_->judged.all;
 }
 long long Brain::unjudged() const {
-  return s_->unjudged;
+  return s_->judged.left_out;
 }
-
 Belief Brain::belief(int number, double now) const {
   const auto& nodes = s_->nodes;
   if (static_cast<std::size_t>(number) >= nodes.all.size()) return Belief::unheard;
--- a/src/policy/nodes.cpp
+++ b/src/policy/nodes.cpp
@@ -13,6 +13,7 @@
 constexpr double kFirstPause = 1;   // until a suspect node is tried again
 constexpr double kLongestPause = 16;
 constexpr double kShunned = 10;    // on the score of a suspect node that has a part already
+constexpr double kAway = 1e3;      // on the score of a node whose site gets a share only; a trial the less
 constexpr double kJoinCost = 0.5;  // of a call: a part that joins one that stands open
 constexpr double kBusy = 0.5;      // of what a warm node could do, taken to be what it does at the busiest
 constexpr double kMostCredit = 4;  // parts that a cold node can be sent in a row where they are spaced out
@@ -39,8 +40,8 @@
   return std::max(root * root, 1.0) / routers;
 }
 
-// Where that is under a part a window the parts are spaced out. A query's neighbouring parts meet at one
-// node: unused space is saved. Routers start anywhere in it, as one part from each at once would be too much.
+// Under a part a window parts are spaced out. A query's neighbouring parts meet at one node: space is saved,
+// from anywhere in it on, as one part from each router at once would be too much.
 bool Cold::allows(Node& node, double now, std::ranlux24_base& chance) const {
   const auto parts = most(node, now);
   if (parts >= 1) return node.sent.recent(now) + 1 <= parts;
@@ -126,8 +127,7 @@
   return sent < node.served && now - sent > kSilence * node.latency;
 }
 
-// Smoothed latency, drifting to the average while the node is silent. A part that waits there for longer is a
-// better witness: a node that swallows its work must not look merely unheard.
+// Smoothed, or the age of a part that waits longer: a node that swallows work must not look merely unheard.
 double Nodes::latency(const Node& node, double now) const {
   auto value = drifted(node, usual(node, now), now);
   const auto oldest = node.waiting.upper_bound(node.served);  // of those that no later one has overtaken
@@ -152,14 +152,34 @@
   return node.open_at == now && open != node.groups.end() && open->second < parts_a_call;
 }
 
-// Three bad outcomes in a row, or no answer at all since a part was sent that should have been answered long
-// ago. The trials of a bad node cost a query each, so they become rarer while they fail.
+double Nodes::by_site(const Node& node, bool may_try, std::ranlux24_base& chance) const {
+  const auto* known = site(node);
+  if (known == nullptr || known->share >= 1) return 1;
+  if (known->lost) return known->trial && may_try ? 1 / kAway : 0;
+  return std::uniform_real_distribution<>(0, 1)(chance) < known->share ? 1 : kAway;
+}
+
+// Nodes whose site was lost, and the way there, are unheard of again.
+void Nodes::believe(std::span<const SiteShare> told) {
+  const auto before = std::exchange(sites, std::vector<SiteShare>(told.begin(), told.end()));
+  for (std::size_t i = 0; i < before.size(); ++i) {
+    if (!before[i].lost || (i < sites.size() && sites[i].lost)) continue;
+    ways[i].delay = 0;
+    for (auto& node : all) {
+      if (node.zone != static_cast<int>(i) || node.born > before[i].since) continue;
+      node.suspect = false;
+      node.bad_row = node.row_seen = 0;
+      node.latency = 0;
+    }
+  }
+}
+
+// Three bad outcomes in a row, or an answer long overdue. Trials cost a query each: they become rarer.
 void Nodes::watch(Node& node, double now) {
   const auto silent =
       !node.waiting.empty() && node.answered < *node.waiting.begin() &&
       now - *node.waiting.begin() > kSilence * std::max({double(average), median, node.latency});
-  // Only an answer clears it: where a router has a part there now and then, the one that was swallowed is
-  // given up long before a second could bear witness, and the node was forgotten.
+  // Only an answer clears it: a part that was swallowed is given up long before a second could bear witness.
   if (!silent && node.bad_row < (node.suspect ? 1 : kProbation)) {
     node.suspect = false;
     node.pause = kFirstPause;
@@ -178,18 +198,17 @@
           (joins(node, now) ? kJoinCost : 1));
 }
 
-// A way between zones that has become slow is one cause behind many nodes. A router with a part a node now
-// and then would learn it anew of each and forget it in between, so nodes not heard of late take the latency
-// of their way. Load leaves the quickest answers quick, a slow way does not: by them the two are told apart.
-// Hurts where all nodes of a zone queue alike: it is then avoided as if it were far.
+// A way between zones that has become slow is one cause behind many nodes: those not heard of late take the
+// latency of their way. Load leaves the quickest answers quick, a slow way does not: by them the two are told
+// apart. Hurts where all nodes of a zone queue alike: it is then avoided as if it were far.
 void Nodes::compare_ways(double now, double since) {
   std::vector<Sample> samples_of_all;
   std::vector<std::vector<Sample>> by_way;
-  for (auto& way : ways) by_way.push_back(way.latencies.recent(now));
   std::vector<std::ptrdiff_t> answers;
-  for (const auto& samples : by_way)
-    answers.push_back(
-        std::count_if(samples.begin(), samples.end(), [](const Sample& s) { return !s.censored; }));
+  for (auto& way : ways) {
+    const auto& samples = by_way.emplace_back(way.latencies.recent(now));
+    answers.push_back(std::count_if(samples.begin(), samples.end(), [](auto& s) { return !s.censored; }));
+  }
   for (const auto& node : all) {
     if (node.zone == kNone) continue;
     const auto way = static_cast<std::size_t>(node.zone);
@@ -216,9 +235,8 @@
 }
 
 void Nodes::learn(Node& node, double value, bool good, double now) {
-  const auto held = drifted(node, usual(node, now), now);
   // What has drifted away is no evidence: the longer the silence before it, the more a new sample weighs.
-  // Where a node is heard of every several seconds it would else look average whatever it does.
+  const auto held = drifted(node, usual(node, now), now);
   const auto weight = 1 - (1 - kSmoothing) * std::exp(-(now - node.heard) / kDrift);
   node.latency = held > 0 ? held + weight * (value - held) : value;
   node.heard = now;
--- a/src/policy/nodes.hpp
+++ b/src/policy/nodes.hpp
@@ -69,7 +69,8 @@
   Cold cold;
   int zone, parts_a_call, cells, span;
   bool may_tell;
-  std::vector<Word> words;  // to be told
+  std::vector<Word> words;       // to be told
+  std::vector<SiteShare> sites;  // by zone; empty: all are sound
   std::vector<Node> all;
   std::vector<Way> ways;
   std::vector<std::vector<int>> by_cell;
@@ -86,9 +87,8 @@
   double usual(const Node& node, double now) const;
   double drifted(const Node& node, double usual, double now) const;
   double latency(const Node& node, double now) const;
-  // An answer that is lost says nothing of its node, which has done parts sent later. Taken for a part that
-  // waits, one in fifteen lost makes all nodes look slow and full in turn, and stops the copies that help.
-  // Lighter parts pass a heavy one at a slow node too: its age counts against the node's own latency as well.
+  // An answer that is lost says nothing of its node, which has done parts sent later: taken for a part that
+  // waits it makes all look slow in turn. Lighter parts pass a heavy one too: its own latency bounds that.
   bool overtaken(const Node& node, double sent, double now) const;
   bool stray(const Node& node, double sent, double now) const {
     return overtaken(node, sent, now) && now - sent > astray;
@@ -96,14 +96,24 @@
   std::size_t calls_at(const Node& node, double now) const;
   double others_at(const Node& node, double now) const;
   bool joins(const Node& node, double now) const;
-  void tell(int node, double took) {
-    if (may_tell) words.push_back({node, took});
-  }
+  void tell(int node, double took) { may_tell ? words.push_back({node, took}) : void(); }
   void hear(Word word, double now);
   // A node under suspicion gets one part at a time, after a pause, unless there is nowhere better to go.
   bool shunned(const Node& node, double now) const {
     return node.suspect && (!node.waiting.empty() || now < node.trial_at);
   }
+  // What its site may get; nullptr: nothing is known against it.
+  const SiteShare* site(const Node& node) const {
+    const auto zone_at = static_cast<std::size_t>(node.zone);
+    return zone_at < sites.size() && node.born <= sites[zone_at].since ? &sites[zone_at] : nullptr;
+  }
+  bool lost(const Node& node) const { return site(node) != nullptr && site(node)->lost; }
+  bool within_reach(const Node& node, double now) const {
+    return node.up && !shunned(node, now) && (!lost(node) || site(node)->trial);
+  }
+  // What that does to its score: 0 where it is passed over, 1 where nothing.
+  double by_site(const Node& node, bool may_try, std::ranlux24_base& chance) const;
+  void believe(std::span<const SiteShare> told);
   void watch(Node& node, double now);
   double score(const Node& node, double now) const;
   void compare_ways(double now, double since);
--- a/src/policy/verticals.cpp
+++ b/src/policy/verticals.cpp
@@ -34,8 +34,7 @@
   return static_cast<double>(parts);
 }
 
-// Hedge delays, and how strained the nodes are. Parts still out count with their age: when all nodes slow
-// together the answers that would show it are the ones not yet in.
+// Hedge delays, and how strained the nodes are. Parts still out count with their age: all may slow together.
 void Verticals::estimate(double now, double since, Nodes& nodes) {
   std::vector<Sample> samples_of_all;
   double needed = 0;
--- a/src/queries/queries.cpp
+++ b/src/queries/queries.cpp
@@ -5,10 +5,22 @@
 namespace yoketurn {
 
 Queries::Queries(const Settings& settings, std::uint64_t seed, double now, DueTimes& due, Actions& actions)
-    : brain_(settings, seed, now), due_(due), actions_(actions) {
+    : brain_(settings, seed, now), sites_(settings, seed), due_(due), actions_(actions) {
   for (const auto& vertical : settings.verticals) second_steps_.push_back(vertical.second_step);
 }
 
+// What is believed of sites is told before the module is asked again: the same turn that brings the evidence
+// sends nothing more there.
+void Queries::believe() {
+  if (sites_.changed()) brain_.believe(sites_.shares());
+}
+
+bool Queries::tick(double now) {
+  sites_.tick(now);
+  believe();
+  return brain_.tick(now);
+}
+
 void Queries::take(long long number, Query start, double now) {
   brain_.take(1, now);
   auto held = std::make_unique<Held>();
@@ -47,6 +59,9 @@
   // second step at a shard without the highest score, where it fails at once.
   if (outcome == Outcome::success && !held.query.leaves[index].in) held.scores[index] = score;
   --held.pending;
+  actions_.ended(held.query.vertical, call);
+  sites_.ended(call.node, call.sent, outcome, now);
+  believe();
   if (witness_ != nullptr) witness_->settled(number, held.query, leaf, call_number, now);
   perform(number, held, brain_.settle(held.query, leaf, call_number, now), now);
   touch(number, held);
@@ -69,6 +84,7 @@
     auto& calls = held.query.leaves[static_cast<std::size_t>(send.leaf)].calls;
     calls.push_back({send.node, send.group, now, Outcome::pending});
     ++held.pending;
+    sites_.sent(send.node, now);
     actions_.send(number, send, static_cast<int>(calls.size()) - 1);
   }
   if (answer.end != End::none) finish_step(number, held, answer);
@@ -77,9 +93,9 @@
 void Queries::finish_step(long long number, Held& held, const Answer& answer) {
   auto& q = held.query;
   if (answer.end == End::reject) {
-    actions_.reject(number, answer.stay_away);
+    actions_.reject(number, answer.stay_away, answer.why);
   } else if (answer.end == End::abort) {
-    actions_.abort(number);
+    actions_.abort(number, answer.why);
   } else {
     const auto second = second_steps_[static_cast<std::size_t>(q.vertical)];
     const auto first_of_two = second > 0 && q.step == 1;
@@ -125,6 +141,7 @@
   for (std::size_t i = 0; i < touched_.size(); ++i) {
     const auto number = touched_[i];
     auto& held = *held_.at(number);
+    believe();
     if (!held.query.ended) perform(number, held, brain_.route(held.query, now), now);
     held.touched = false;
     if (!held.query.ended) {
--- a/src/queries/queries.hpp
+++ b/src/queries/queries.hpp
@@ -10,6 +10,7 @@
 #include "brain.hpp"
 #include "queries/due.hpp"
 #include "queries/witness.hpp"
+#include "sites/sites.hpp"
 
 namespace yoketurn {
 
@@ -21,9 +22,10 @@
   virtual void send(long long query, const Send& send, int call) = 0;
   virtual void cancel(long long query, const Cancel& cancel) = 0;
   virtual void merge(long long query, bool whole) = 0;  // of a first step: its second step is awaited then
-  virtual void reject(long long query, double stay_away) = 0;
-  virtual void abort(long long query) = 0;
+  virtual void reject(long long query, double stay_away, const Why& why) = 0;
+  virtual void abort(long long query, const Why& why) = 0;
   virtual void forget(long long query) = 0;       // ended, and no call is out any more
+  virtual void ended(int, const Call&) {}         // of this vertical; its outcome stands in it
   virtual void tell(const std::vector<Word>&) {}  // where the other routers can be told
 };
 
@@ -31,13 +33,18 @@
  public:
   Queries(const Settings& settings, std::uint64_t seed, double now, DueTimes& due, Actions& actions);
 
-  void list(std::span<const Host> hosts, bool complete, bool told = true) {
+  void list(std::span<const Host> hosts, bool complete, double now, bool told = true) {
     brain_.list(hosts, complete, told);
+    sites_.list(hosts, complete, now);
+  }
+  void forget_node(int node) {
+    brain_.forget(node);
+    sites_.forget(node);
   }
-  void forget_node(int node) { brain_.forget(node); }
   void hear(Word word, double now) { brain_.hear(word, now); }
   void list_failed(double now) { brain_.list_failed(now); }
-  bool tick(double now) { return brain_.tick(now); }
+  bool tick(double now);
+  Sites& sites() { return sites_; }
   double period() const { return brain_.period(); }
   Belief belief(int node, double now) const { return brain_.belief(node, now); }
   long long unjudged() const { return brain_.unjudged(); }
@@ -71,7 +78,10 @@
   void finish_step(long long number, Held& held, const Answer& answer);
   void end(long long number, Held& held);
 
+  void believe();
+
   Brain brain_;
+  Sites sites_;
   DueTimes& due_;
   Actions& actions_;
   Witness* witness_ = nullptr;
--- a/src/router/config.cpp
+++ b/src/router/config.cpp
@@ -1,5 +1,7 @@
 #include "router/config.hpp"
 
+#include <fmt/format.h>
+
 #include <charconv>
 #include <fstream>
 #include <limits>
@@ -8,6 +10,7 @@
 
 #include "settings/fields.hpp"
 #include "settings/shape.hpp"
+#include "timeline/event.hpp"
 
 namespace yoketurn {
 
@@ -43,6 +46,10 @@
   config.settings = settings(config.setup);
   config.peers_left_out = std::exchange(config.settings.may_tell, false);
   config.bounds = bounds(config.setup);
+  std::string shared = fmt::format("{}/{}", config.sockets, config.memory);
+  for (const auto& [path, value] : config.setup)
+    if (path != "zone") shared += fmt::format(";{}={}", path, value);
+  config.hash = id_of(shared);
   config.verticals = names(config.setup, "classes");
   config.zones = split(required(config.setup, "zones"), ',');
   return config;
--- a/src/router/config.hpp
+++ b/src/router/config.hpp
@@ -12,7 +12,8 @@
 namespace yoketurn {
 
 struct Config {
-  std::string path;  // empty: it came from no file
+  std::string path;        // empty: it came from no file
+  std::uint64_t hash = 0;  // of settings and limits: what all routers of a fleet should have alike
   std::string name;
   boost::asio::ip::tcp::endpoint listen;
   boost::asio::ip::tcp::endpoint discovery;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t kOtherSockets = 16;    // streams, event queue, timers, signals, listener, discovery
 constexpr std::size_t kNodeShare = 2;        // one in so many descriptors may go to data nodes
 constexpr std::size_t kMostNodes = 20'000;   // known by name
+constexpr double kAskAgain = 2;              // between two questions for the whole list because of its count
+constexpr double kVersionsAgain = 30;        // after which a time line is told all versions again
 constexpr double kLate = 0.05;               // by which a round of the loop is late enough to be told
 constexpr double kStill = 0.25;              // and by which the router stood still
 constexpr std::size_t kTimelineSockets = 2;  // its listener, a file; and its readers
@@ -83,11 +85,24 @@
   return asked;
 }
 
+std::string site_of(const Config& config) {
+  const auto zone = config.settings.zone;
+  return zone == kNone ? "" : config.zones[static_cast<std::size_t>(zone)];
+}
+
+std::string text_of(const asio::ip::tcp::endpoint& at) {
+  return fmt::format("{}:{}", at.address().to_string(), at.port());
+}
+
 asio::steady_timer::duration until(double at) {
   return std::chrono::duration_cast<asio::steady_timer::duration>(
       std::chrono::duration<double>(std::max(at - now(), 0.0)));
 }
 
+Act act_of(Reason reason) {
+  return reason == Reason::first ? Act::first : reason == Reason::copy ? Act::copy : Act::resent;
+}
+
 const char* name(Router::Phase phase) {
   static constexpr const char* kNames[] = {"starting", "serving", "draining", "stopped"};
   return kNames[static_cast<int>(phase)];
@@ -102,6 +117,13 @@
       asked_(asked_of(config)),
       zones_(index(config.zones)),
       unix_at_zero_(unix_at_zero()),
+      standing_({config.name, site_of(config), config.verticals}, config.seed, now(), unix_at_zero_, log,
+                {[this] { watch_.ask_again(); }, [this] { reload(); },
+                 [this](const asio::ip::tcp::endpoint& at) {
+                   discovery_now_ = at;
+                   watch_.follow(at);
+                 }}),
+      discovery_now_(config.discovery),
       queries_(config.settings, config.seed, now(), due_, *this),
       pool_(context, due_, node_limits(config.bounds), node_connections(config), log, *this),
       clients_(context, due_, config.sockets - other_sockets(config) - node_connections(config),
@@ -118,7 +140,14 @@
   signals_.add(SIGHUP);
   await_signal();
   log_.shape(log_form(config_.operators));
+  standing_.changed = [this](Subject subject) {
+    if (recorder_)
+      recorder_->version(subject, standing_.versions().version(subject), standing_.versions().number(),
+                         now());
+  };
   watch_over(config_.operators);
+  standing_.file(Subject::configuration, config_.hash, config_.path, now());
+  standing_.file(Subject::operators, config_.operators.hash, config_.operators_path, now());
   clients_.open(config_.listen);
   log_.line("phase", "name={} router={} listen={}:{}", name(phase_), config_.name,
             config_.listen.address().to_string(), config_.listen.port());
@@ -129,6 +158,10 @@
   tick();
 }
 
+void Router::build(std::string_view revision, std::uint64_t decisions) {
+  standing_.file(Subject::build, decisions, revision, now());
+}
+
 void Router::await_signal() {
   signals_.async_wait([this](const auto& error, int number) {
     if (error) return;
@@ -141,7 +174,7 @@
 // the list stands until the new address tells one: without this a router would end by the signal, or stay
 // blind on an address that is given up.
 void Router::reload() {
-  reload_operators();
+  const auto operators_taken = reload_operators();
   try {
     const auto fresh = load_config(config_.path);
     const std::pair<const char*, bool> fixed[] = {{"name", fresh.name != config_.name},
@@ -153,16 +186,21 @@
       if (changed) kept += (kept.empty() ? "" : ",") + std::string(entry);
     log_.line("reloaded", "discovery={}:{} changed={} kept={}", fresh.discovery.address().to_string(),
               fresh.discovery.port(), fresh.discovery != config_.discovery, kept.empty() ? "-" : kept);
+    // What is kept is not acted on: the version stays, and that it does is told.
+    standing_.versions().kept(!kept.empty() || !operators_taken, now());
+    if (kept.empty()) standing_.file(Subject::configuration, fresh.hash, config_.path, now());
     if (fresh.discovery == config_.discovery) return;
-    config_.discovery = fresh.discovery;
+    config_.discovery = discovery_now_ = fresh.discovery;
     watch_.follow(fresh.discovery);
   } catch (const std::exception& error) {
+    standing_.versions().kept(true, now());
     log_.line("reload_failed", "why=\"{}\"", error.what());
   }
 }
 
 void Router::enter(Phase phase) {
   phase_ = phase;
+  standing_.serving(phase == Phase::serving);
   log_.line("phase", "name={} in_hand={} clients={}", name(phase), by_client_.size(), clients_.connections());
 }
 
@@ -204,18 +242,27 @@
                       : std::nullopt;
   if (operators.timeline.on && !operators.timeline.listen.empty() && !at)
     throw Malformed("timeline.listen can't be read");
+  const auto& sites = operators.sites;
+  if (!sites.evacuate.empty() && look_up(zones_, sites.evacuate) == kNone)
+    throw Malformed("sites.evacuate: there is no site " + sites.evacuate);
   std::unique_ptr<TimelineServer> server;
   const auto moved = !server_ || operators.timeline.listen != before.timeline.listen;
   if (at && moved)
-    server = std::make_unique<TimelineServer>(context_, due_, *at, operators.timeline.readers, [this] {
-      return recorder_ ? &recorder_->timeline() : nullptr;
-    });
+    server = std::make_unique<TimelineServer>(
+        context_, due_, *at, operators.timeline.readers,
+        [this] { return recorder_ ? &recorder_->timeline() : nullptr; }, [this] { return standing_.view(); });
   if (!at || server) server_ = std::move(server);
   if (server_) server_->bound(operators.timeline.readers);
   // The end of a writer waits for its disk: it goes on where nothing of it changes.
   const auto same_segments = same && operators.segments == before.segments;
   config_.operators = operators;
   const auto began = now();
+  standing_.shape(operators.fleet, server_ != nullptr);
+  queries_.sites().on(sites.on);
+  queries_.sites().evacuate(sites.evacuate.empty()
+                                ? std::nullopt
+                                : std::optional(Evacuation{look_up(zones_, sites.evacuate), began, sites.over,
+                                                           sites.until - unix_at_zero_, next_tick_ <= 0}));
   if (!operators.timeline.on) {
     queries_.witness(nullptr);
     recorder_.reset();
@@ -229,6 +276,7 @@
                                            operators.departures.on,
                                            static_cast<int>(config_.verticals.size()), began, unix_at_zero());
     queries_.witness(recorder_.get());
+    versions_at_ = 0;
   }
   if (same_segments) return;
   segments_.reset();
@@ -260,19 +308,22 @@
 }
 
 // The file is taken whole or, with every problem told, not at all.
-void Router::reload_operators() {
-  if (config_.operators_path.empty()) return;
+bool Router::reload_operators() {
+  if (config_.operators_path.empty()) return true;
   try {
     const auto fresh = load_operators(config_.operators_path, config_.memory);
     watch_over(fresh);
+    standing_.file(Subject::operators, fresh.hash, config_.operators_path, now());
     log_.shape(log_form(fresh));
     log_.line("operators_reloaded", "path=\"{}\"", config_.operators_path);
+    return true;
   } catch (const BadOperators& bad) {
     for (const auto& problem : bad.problems)
       log_.line("operators_kept", "why=\"{}\"", to_text(problem, config_.operators_path));
   } catch (const std::exception& error) {
     log_.line("operators_kept", "why=\"{}\"", error.what());
   }
+  return false;
 }
 
 std::optional<asio::ip::tcp::endpoint> Router::timeline_at() const {
@@ -313,6 +364,51 @@
   }
 }
 
+void Router::tell_sites() {
+  for (const auto& news : queries_.sites().news()) {
+    const auto& name_of = config_.zones[static_cast<std::size_t>(news.site)];
+    log_.line(
+        "site",
+        "name={} state={} before={} lasted={:.3f} nodes={} bad={} refused={} evidence={:.1f} usual={:.2f} "
+        "share={:.2f} cold={:d} held_back={:d}",
+        name_of, why_name(What::site, static_cast<std::uint8_t>(news.now)),
+        why_name(What::site, static_cast<std::uint8_t>(news.before)), news.lasted, news.nodes, news.bad,
+        news.refused, news.evidence, news.usual, news.share, news.cold, news.held_back);
+    if (recorder_) recorder_->site(name_of, news);
+  }
+}
+
+// A node at a site that is held for lost is no witness against the list.
+void Router::tell_standing(double at) {
+  auto lost = false;
+  for (std::size_t site = 0; site < zones_.size(); ++site) {
+    const auto belief = queries_.sites().belief(static_cast<int>(site));
+    lost = lost || belief == SiteBelief::lost || belief == SiteBelief::cut_off;
+  }
+  hidden_.clear();
+  if (lost)
+    for (const auto& member : list_now_.members) {
+      const auto node = nodes_.find(member.id);
+      const auto belief = queries_.sites().belief(look_up(zones_, member.zone));
+      if (node == nodes_.end() || (belief != SiteBelief::lost && belief != SiteBelief::cut_off)) continue;
+      hidden_.resize(std::max(hidden_.size(), static_cast<std::size_t>(node->second) + 1));
+      hidden_[static_cast<std::size_t>(node->second)] = true;
+    }
+  standing_.tick(phase_ == Phase::draining, lost, hidden_, at);
+  if (!recorder_ || at < versions_at_) return;
+  versions_at_ = at + kVersionsAgain;
+  for (std::size_t i = 0; i < kSubjects; ++i)
+    if (const auto subject = static_cast<Subject>(i); standing_.versions().version(subject).epoch > 0)
+      recorder_->version(subject, standing_.versions().version(subject), standing_.versions().number(), at);
+}
+
+void Router::ended(int vertical, const Call& call) {
+  auto& versions = standing_.versions();
+  if (call.outcome == Outcome::unsent || call.outcome == Outcome::unreachable)
+    versions.unsent(vertical, call.node);
+  versions.ended(call.node, call.outcome, now());
+}
+
 void Router::connected(int node, double took) {
   if (recorder_) recorder_->opened(node, took, now());
 }
@@ -350,6 +446,8 @@
   observe(at);
   next_tick_ = at + queries_.period();
   queries_.tick(at);  // the list is always followed: it need not be asked for
+  tell_sites();
+  tell_standing(at);
   log_.sum_up(at);
   tell_figures(at);
   turn();
@@ -415,7 +513,9 @@
   try {
     if (request.target() == "/_health") {
       if (request.method() != boost::beast::http::verb::get) throw BadRequest(405, "health is a GET");
-      clients_.answer(connection, phase_ == Phase::serving ? 200 : 503, name(phase_));
+      const auto takes = phase_ == Phase::serving && standing_.healthy();
+      clients_.answer(connection, takes ? 200 : 503,
+                      takes || phase_ != Phase::serving ? name(phase_) : "aside");
       return;
     }
     auto ask = read_ask(request, asked_);
@@ -439,7 +539,8 @@
   // What comes so late must not be found without its answer by SIGKILL.
   if (phase_ == Phase::draining) q.expires = std::min(q.expires, killed_at() - kSpare);
   q.client_retry = ask.client_retry;
-  q.no_room = open_ >= config_.bounds.max_open;
+  const auto no_room = open_ >= config_.bounds.max_open;
+  if (no_room || standing_.bars(at)) q.barred = no_room ? Reason::no_room : Reason::shut_out;
   for (const auto& target : ask.targets) q.work += target.work;
   auto& held = held_[number];
   held.client = connection;
@@ -453,7 +554,7 @@
   ++open_;
   if (recorder_) {
     recorder_->taken(number, ask.id, ask.vertical, at);
-    if (q.no_room)
+    if (no_room)
       recorder_->loop(What::at_bound, static_cast<std::uint8_t>(Bound::queries), open_,
                       config_.bounds.max_open, at);
   }
@@ -500,6 +601,7 @@
   auto& held = held_.at(query);
   ++held.calls;
   ++calls_out_;
+  standing_.versions().sent(held.vertical, act_of(send.why.reason), send.node, now());
   const auto leaf = static_cast<std::size_t>(send.leaf);
   const auto& part = held.parts[leaf];
   auto list = fmt::format("d={}", std::max(std::llround(send.timeout * 1e3), 1LL));
@@ -521,6 +623,7 @@
     return;
   }
   ++figures_.merged;
+  standing_.versions().answered(held.vertical, whole ? Act::whole : Act::part);
   std::vector<Result> results;
   for (std::size_t i = static_cast<std::size_t>(held.second_from < kFirstOnly ? held.second_from : 0);
        i < held.parts.size(); ++i)
@@ -528,25 +631,30 @@
   answer(query, 200, answer_body(whole, results));
 }
 
-void Router::reject(long long query, double stay_away) {
+void Router::reject(long long query, double stay_away, const Why& why) {
   ++figures_.rejected;
-  tell_of("rejected", query);
+  standing_.versions().answered(held_.at(query).vertical, Act::rejected);
+  tell_of("rejected", query, why);
   answer(query, 503, "rejected", stay_away);
 }
 
-void Router::abort(long long query) {
+void Router::abort(long long query, const Why& why) {
   ++figures_.aborted;
-  tell_of("aborted", query);
+  standing_.versions().answered(held_.at(query).vertical, Act::aborted);
+  tell_of("aborted", query, why);
   answer(query, 500, "aborted");
 }
 
-void Router::tell_of(std::string_view end, long long query) {
+void Router::tell_of(std::string_view end, long long query, const Why& why) {
   const auto& held = held_.at(query);
   const auto in =
       std::count_if(held.parts.begin(), held.parts.end(), [](const Part& part) { return part.in; });
-  log_.line(end, "query={} vertical={} age={:.3f} parts={} in={} calls={} open={}", held.id,
-            config_.verticals[static_cast<std::size_t>(held.vertical)], now() - held.taken, held.parts.size(),
-            in, held.calls, open_);
+  log_.line(
+      end,
+      "query={} vertical={} age={:.3f} parts={} in={} calls={} open={} why={} a={:.3f} b={:.3f} c={:.3f}",
+      held.id, config_.verticals[static_cast<std::size_t>(held.vertical)], now() - held.taken,
+      held.parts.size(), in, held.calls, open_, why_name(What::ended, static_cast<std::uint8_t>(why.reason)),
+      why.a, why.b, why.c);
 }
 
 void Router::forget(long long query) {
@@ -598,6 +706,7 @@
     std::erase_if(list_now_.members, [&](const Member& held) { return held.id == member.id; });
     if (!member.gone) list_now_.members.push_back(member);
   }
+  standing_.listed(list_now_, list.full, text_of(discovery_now_), now());
   std::vector<Host> hosts;
   std::set<int> present;
   std::size_t ready = 0;
@@ -611,6 +720,7 @@
     const auto born = member.started > 0 ? member.started - unix_at_zero_ : 0;
     hosts.push_back({node, look_up(zones_, member.zone), member.cell, member.up, born});
     present.insert(node);
+    standing_.member(node, member);
     if (recorder_) {
       if (member.gone)
         recorder_->left(node, list.version, now());
@@ -634,7 +744,7 @@
         pool_.leave(node);
         if (recorder_) recorder_->left(node, list.version, now());
       }
-  queries_.list(hosts, list.full);
+  queries_.list(hosts, list.full, now());
   log_.line("list", "version={} full={} entries={} ready={}", list.version, list.full, list.members.size(),
             ready);
   if (phase_ == Phase::starting && ready > 0) enter(Phase::serving);
@@ -668,7 +778,29 @@
 }
 
 void Router::watch_lost() {
+  standing_.versions().watch_lost(now());
   queries_.list_failed(now());
 }
 
+void Router::watch_heard() {
+  standing_.versions().heard(now());
+}
+
+// What merely comes again says nothing. A count that has begun anew says that all that is held may be of
+// another list: without asking for the whole one every further change would be passed over, unheard, until
+// the count had caught up, and a node drained meanwhile sent to for minutes.
+void Router::passed_over(const MemberList& list) {
+  if (list.members.empty() || list.version >= list_now_.version) return;
+  const auto at = now();
+  standing_.versions().passed_over(list.version, at);
+  if (at < ask_again_at_) return;
+  ask_again_at_ = at + kAskAgain;
+  log_.line("list_again", "count={} held={}", list.version, list_now_.version);
+  watch_.ask_again();
+}
+
+void Router::unusable() {
+  standing_.versions().unusable(now());
+}
+
 }  // namespace yoketurn
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -19,6 +19,7 @@
 #include "logging/log.hpp"
 #include "queries/queries.hpp"
 #include "router/config.hpp"
+#include "router/standing.hpp"
 #include "timeline/recorder.hpp"
 #include "timeline/segments.hpp"
 #include "timeline/server.hpp"
@@ -32,6 +33,7 @@
   enum class Phase { starting, serving, draining, stopped };
 
   Router(boost::asio::io_context& context, const Config& config, Log& log);
+  void build(std::string_view revision, std::uint64_t decisions);  // of the program, before the start
 
   void start();
   void drain();
@@ -78,9 +80,10 @@
   void send(long long query, const Send& send, int call) override;
   void cancel(long long query, const Cancel& cancel) override;
   void merge(long long query, bool whole) override;
-  void reject(long long query, double stay_away) override;
-  void abort(long long query) override;
+  void reject(long long query, double stay_away, const Why& why) override;
+  void abort(long long query, const Why& why) override;
   void forget(long long query) override;
+  void ended(int vertical, const Call& call) override;
 
   void call_ended(const CallRef& ref, Outcome outcome, double score, std::string_view value) override;
   void connected(int node, double took) override;
@@ -92,13 +95,18 @@
   void left(int connection) override;
   void listed(const MemberList& list) override;
   void watch_lost() override;
+  void watch_heard() override;
+  void passed_over(const MemberList& list) override;
+  void unusable() override;
   int number_of(const std::string& node);  // kNone: there is no room for it
   void let_go();
 
   void watch_over(const Operators& operators);  // throws if it can't; then all is as it was
   void begin_lines(double at);
   void observe(double at);
-  void reload_operators();
+  void tell_sites();
+  void tell_standing(double at);
+  bool reload_operators();  // whether they were taken, where there are any
 
   void take(int connection, Ask ask);
   void take_second_step(long long query, double at);
@@ -114,7 +122,7 @@
   double killed_at() const;
   void wind_up(double at);
   void tell_figures(double at);
-  void tell_of(std::string_view end, long long query);
+  void tell_of(std::string_view end, long long query, const Why& why);
 
   boost::asio::io_context& context_;
   Log& log_;
@@ -141,6 +149,13 @@
   double figures_at_ = 0;
   std::size_t calls_out_ = 0;  // without an outcome
 
+  Standing standing_;
+  boost::asio::ip::tcp::endpoint
+      discovery_now_;         // that is followed: an order may name another than the configuration
+  std::vector<bool> hidden_;  // nodes of sites that are held for lost
+  double ask_again_at_ = 0;   // from when on a count that runs backwards is asked about again
+  double versions_at_ = 0;    // when the time line is told them again
+
   std::unique_ptr<Recorder> recorder_;
   std::unique_ptr<Segments> segments_;
   MemberList list_now_;  // as it stands, for a time line that begins later
--- a/src/timeline/event.cpp
+++ b/src/timeline/event.cpp
@@ -16,24 +16,26 @@
     "known",       "ready",    "draining", "gone",        "belief",   "report",   "sent",     "passed",
     "cancelled",   "outcome",  "opened",   "closed",      "departed", "returned", "accepted", "first_byte",
     "request",     "answered", "shut",     "door_failed", "started",  "taken",    "ended",    "waits",
-    "stood_still", "ran_late", "at_bound", "clock",       "gap"};
+    "stood_still", "ran_late", "at_bound", "clock",       "gap",      "site",     "version"};
 static_assert(std::size(kWhat) == static_cast<std::size_t>(What::last));
 constexpr std::string_view kReason[] = {
     "none",        "first",        "copy",         "lost_again",   "failed_again", "race_lost",
     "lost_answer", "on_time",      "copies_spent", "none_quicker", "none_left",    "paused",
     "calls_spent", "extras_spent", "may_have_run", "dearer",       "down",         "cold",
     "suspect",     "tried",        "whole",        "share",        "no_room",      "strained",
-    "hopeless",    "out_of_reach", "time_over",    "cannot_reach"};
-static_assert(std::size(kReason) == static_cast<std::size_t>(Reason::cannot_reach) + 1);
+    "hopeless",    "out_of_reach", "time_over",    "cannot_reach", "away",         "shut_out"};
+static_assert(std::size(kReason) == static_cast<std::size_t>(Reason::shut_out) + 1);
 constexpr std::string_view kOutcome[] = {"pending",     "success", "failure", "overloaded", "timed_out",
                                          "unreachable", "broken",  "spoilt",  "cancelled",  "unsent"};
 constexpr std::string_view kBelief[] = {"unheard", "trusted", "cold", "suspect", "on_trial"};
+constexpr std::string_view kSite[] = {"sound", "doubted", "lost", "cut_off", "returning", "evacuated"};
 constexpr std::string_view kReport[] = {"fresh", "repeated", "older", "unreadable"};
 constexpr std::string_view kClosing[] = {"idle",   "refused", "timed_out", "broken",
                                          "spoilt", "retired", "room",      "stopped"};
 constexpr std::string_view kShut[] = {"by_client", "mute", "half",   "room",
                                       "answered",  "bad",  "unread", "stopped"};
 constexpr std::string_view kBound[] = {"queries", "connections", "clients", "log", "judged"};
+constexpr std::string_view kVersion[] = {"list", "configuration", "operators", "build"};
 constexpr std::string_view kDeparture[] = {"slow",        "stall",         "swallows",   "fails", "flaps",
                                            "late_report", "frozen_report", "connection", "cold"};
 static_assert(std::size(kDeparture) == static_cast<std::size_t>(Departure::last));
@@ -50,6 +52,8 @@
       return kOutcome;
     case What::belief:
       return kBelief;
+    case What::site:
+      return kSite;
     case What::report:
       return kReport;
     case What::closed:
@@ -58,6 +62,8 @@
       return kShut;
     case What::at_bound:
       return kBound;
+    case What::version:
+      return kVersion;
     case What::departed:
     case What::returned:
       return kDeparture;
--- a/src/timeline/event.hpp
+++ b/src/timeline/event.hpp
@@ -46,6 +46,14 @@
   at_bound,     // why: Bound; a: held, b: bound
   clock,        // the common clock against the router's own: wide()
   gap,          // a: events that were dropped before this one
+  // Of a site's line. why: what is believed of it; a: evidence, b: share it gets, c: nodes with a bad say;
+  // leaf: its
+  // nodes, call: those refused by a connection, query: 1 where an evacuation is held back.
+  site,
+  // A version that is acted on from now on, on the loop's line. why: Subject; id(): hash of its content,
+  // wide():
+  // its count, c: the count's epoch; query: the interval that begins.
+  version,
   last
 };
 
--- a/src/timeline/record.cpp
+++ b/src/timeline/record.cpp
@@ -50,15 +50,14 @@
   if (e.query != 0 || has_part(e.what)) text += fmt::format(R"(,"query":{})", e.query);
   if (has_part(e.what) || e.what == What::ended)
     text += fmt::format(R"(,"leaf":{},"call":{})", e.leaf, e.call);
-  if (e.what == What::taken) {
-    text += fmt::format(R"(,"id":"{:016x}")", e.id());
-  } else {
+  if (e.what == What::taken || e.what == What::version) text += fmt::format(R"(,"id":"{:016x}")", e.id());
+  if (e.what != What::taken) {
     if (!record.other.empty())
       text += fmt::format(R"(,"other":{})", quoted(record.other));
     else if (e.line == kDoor && e.other != 0)
       text += fmt::format(R"(,"address":"{}")", address(e.other));
-    if (e.what == What::clock)
-      text += fmt::format(R"(,"wide":{:.6f})", e.wide());
+    if (e.what == What::clock || e.what == What::version)
+      text += fmt::format(R"(,"wide":{:.6f},"c":{})", e.wide(), figure(e.c));
     else
       text += fmt::format(R"(,"a":{},"b":{},"c":{})", figure(e.a), figure(e.b), figure(e.c));
   }
@@ -100,7 +99,7 @@
   e.a = static_cast<float>(number("a", 0));
   e.b = static_cast<float>(number("b", 0));
   e.c = static_cast<float>(number("c", 0));
-  if (e.what == What::clock) e.set_wide(number("wide", 0));
+  if (e.what == What::clock || e.what == What::version) e.set_wide(number("wide", 0));
   if (const auto id = text("id"); !id.empty()) {
     std::uint64_t hash = 0;
     std::from_chars(id.data(), id.data() + id.size(), hash, 16);
@@ -234,6 +233,8 @@
           return fmt::format("passed over{}: cold, sent {:g} of {:.2f}", instead, e.a, e.b);
         case Reason::tried:
           return fmt::format("passed over{}: the part has been there", instead);
+        case Reason::away:
+          return fmt::format("passed over{}: its site was lost {} before", instead, ms(e.a));
         default:
           return fmt::format("passed over{}: {}", instead, why);
       }
@@ -288,6 +289,13 @@
       return fmt::format("the common clock stands at {} when the router's own is 0", iso(e.wide()));
     case What::gap:
       return fmt::format("GAP: {:g} events before this were dropped", e.a);
+    case What::site:
+      return fmt::format(
+          "believed {}: {:g} of {} nodes bad ({} by their connections), evidence {:.3g}, gets {:.0f}%{}", why,
+          e.c, e.leaf, e.call, e.a, 100 * e.b, e.query ? "; evacuation held back" : "");
+    case What::version:
+      return fmt::format("acts on {} {:.0f} (epoch {:g}, content {:016x}), interval {}", why, e.wide(), e.c,
+                         e.id(), e.query);
     default:
       return std::string(name(e.what));
   }
@@ -342,8 +350,16 @@
       say(fmt::format("part {}:", leaf));
       for (const auto* r : choices) say(fmt::format("  {}  {:<16}  {}", iso(r->unix), r->line, sentence(*r)));
     }
-    for (const auto* r : own)
-      if (r->event.what == What::ended) say(fmt::format("{}  {}", iso(r->unix), sentence(*r)));
+    double over = 0;
+    for (const auto* r : own) {
+      if (r->event.what != What::ended) continue;
+      say(fmt::format("{}  {}", iso(r->unix), sentence(*r)));
+      over = r->unix;
+    }
+    std::map<std::uint8_t, const Record*> versions;
+    for (const auto& r : records)
+      if (r.event.what == What::version && (over == 0 || r.unix <= over)) versions[r.event.why] = &r;
+    for (const auto& [subject, r] : versions) say(fmt::format("  {}  since {}", sentence(*r), iso(r->unix)));
   }
 }
 
--- a/src/timeline/recorder.cpp
+++ b/src/timeline/recorder.cpp
@@ -189,6 +189,29 @@
   timeline_.record(e);
 }
 
+void Recorder::site(const std::string& name, const SiteNews& news) {
+  const auto [line, fresh] = sites_.try_emplace(name, kNoLine);
+  if (fresh) line->second = timeline_.open("site:" + name, "", news.at);
+  if (line->second == kNoLine) return;
+  auto e = event(What::site, line->second, static_cast<std::uint8_t>(news.now), news.at);
+  e.a = static_cast<float>(news.evidence);
+  e.b = static_cast<float>(news.share);
+  e.c = static_cast<float>(news.bad);
+  e.leaf = static_cast<std::uint16_t>(news.nodes);
+  e.call = static_cast<std::uint16_t>(news.refused);
+  e.query = news.held_back ? 1 : 0;
+  timeline_.record(e);
+}
+
+void Recorder::version(Subject subject, const Version& version, std::uint64_t interval, double now) {
+  auto e = event(What::version, kLoop, static_cast<std::uint8_t>(subject), now);
+  e.set_wide(static_cast<double>(version.count));
+  e.set_id(version.hash);
+  e.c = static_cast<float>(version.epoch);
+  e.query = static_cast<std::uint32_t>(interval);
+  timeline_.record(e);
+}
+
 void Recorder::loop(What what, std::uint8_t why, double a, double b, double now) {
   auto e = event(what, kLoop, why, now);
   e.a = static_cast<float>(a);
--- a/src/timeline/recorder.hpp
+++ b/src/timeline/recorder.hpp
@@ -8,7 +8,9 @@
 
 #include "departures/departures.hpp"
 #include "queries/witness.hpp"
+#include "sites/sites.hpp"
 #include "timeline/timeline.hpp"
+#include "versions/versions.hpp"
 
 namespace yoketurn {
 
@@ -34,6 +36,8 @@
   void taken(long long query, std::string_view id, int vertical, double now);
   void door(What what, std::uint8_t why, int connection, std::uint32_t address, double a, double b,
             double now);
+  void version(Subject subject, const Version& version, std::uint64_t interval, double now);
+  void site(const std::string& name, const SiteNews& news);
   void loop(What what, std::uint8_t why, double a, double b, double now);
 
   // Departures that are new; the clock against the common one.
@@ -60,6 +64,7 @@
   Departures departures_;
   bool departs_;
   std::vector<Node> nodes_;
+  std::unordered_map<std::string, std::uint32_t> sites_;  // their lines
 };
 
 }  // namespace yoketurn
--- a/src/timeline/server.cpp
+++ b/src/timeline/server.cpp
@@ -81,7 +81,7 @@
   }
 
  private:
-  enum class Part { none, nodes, events, tens, seconds };
+  enum class Part { none, nodes, events, tens, seconds, versions };
   void patience() {
     due_.set(due_key_, now() + kPatience, [weak = weak_from_this()](double) {
       if (const auto self = weak.lock()) self->close();
@@ -133,8 +133,11 @@
     } else if (path == "/timeline/summaries") {
       part_ = Part::tens;
       next_ = timeline->tens().begin();
+    } else if (path == "/versions" && owner_->versions_) {
+      part_ = Part::versions;
+      next_ = static_cast<std::uint64_t>(std::max(number(given, "since", 0), 0.0));
     } else {
-      return refuse(404, "ask for /timeline/nodes, /timeline/events or /timeline/summaries");
+      return refuse(404, "ask for /timeline/nodes, /timeline/events, /timeline/summaries or /versions");
     }
     piece_ = "HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\nConnection: close\r\n\r\n";
     fill();
@@ -169,6 +172,21 @@
     part_ = after;
     next_ = 0;
   }
+  // Where the router stands, then its intervals from the one asked for on, the open one last.
+  void versions() {
+    const auto view = owner_->versions_();
+    if (std::exchange(first_, false)) piece_ += view.stand(now()) + "\n";
+    const auto say = [&](const Interval& i) {
+      piece_ += to_json(i, view.unix_at_zero, *view.verticals) + "\n";
+      next_ = i.number + 1;
+    };
+    for (const auto& interval : view.versions->closed()) {
+      if (piece_.size() >= kPiece) return;
+      if (interval.number >= next_) say(interval);
+    }
+    if (view.versions->number() >= next_) say(view.versions->open());
+    part_ = Part::none;
+  }
   void fill() {
     const auto* timeline = owner_ == nullptr ? nullptr : owner_->source_();
     if (timeline == nullptr) return close();
@@ -192,6 +210,8 @@
                   piece_ += to_json(*timeline, s) + "\n";
               });
       if (tens && part_ == Part::seconds) next_ = timeline->seconds().begin();
+    } else if (part_ == Part::versions) {
+      versions();
     }
     write();
   }
@@ -225,8 +245,13 @@
 };
 
 TimelineServer::TimelineServer(asio::io_context& context, DueTimes& due, const asio::ip::tcp::endpoint& at,
-                               int readers, Source source)
-    : context_(context), acceptor_(context), due_(due), most_(readers), source_(std::move(source)) {
+                               int readers, Source source, VersionsSource versions)
+    : context_(context),
+      acceptor_(context),
+      due_(due),
+      most_(readers),
+      source_(std::move(source)),
+      versions_(std::move(versions)) {
   acceptor_.open(at.protocol());
   acceptor_.set_option(asio::socket_base::reuse_address(true));
   acceptor_.bind(at);
--- a/src/timeline/server.hpp
+++ b/src/timeline/server.hpp
@@ -10,16 +10,18 @@
 
 #include "queries/due.hpp"
 #include "timeline/timeline.hpp"
+#include "versions/record.hpp"
 
 namespace yoketurn {
 
 class TimelineServer {
  public:
   using Source = std::function<const Timeline*()>;  // nullptr: there is none now
+  using VersionsSource = std::function<VersionsView()>;
 
   // Throws if it can't listen there.
   TimelineServer(boost::asio::io_context& context, DueTimes& due, const boost::asio::ip::tcp::endpoint& at,
-                 int readers, Source source);
+                 int readers, Source source, VersionsSource versions = {});
   ~TimelineServer();
   boost::asio::ip::tcp::endpoint at() const { return acceptor_.local_endpoint(); }
   void bound(int readers);  // from now on
@@ -35,6 +37,7 @@
   DueTimes& due_;
   int most_;
   Source source_;
+  VersionsSource versions_;
   bool accepting_ = false;
   std::set<std::shared_ptr<Reader>> readers_;
 };
--- a/src/wire/instance.cpp
+++ b/src/wire/instance.cpp
@@ -62,7 +62,7 @@
   for (const auto& entry : entries)
     hosts.push_back(
         {node(entry.node), look_up(zones_, entry.zone), entry.cell, entry.status == 'U', entry.born});
-  queries_.list(hosts, kind != "incr", kind != "warm_copy");
+  queries_.list(hosts, kind != "incr", now, kind != "warm_copy");
 }
 
 void Instance::on_demand(Fields& fields, double now) {
@@ -162,10 +162,10 @@
 void Instance::merge(long long query, bool whole) {
   say("answer", ids_.at(query).query, whole ? 1 : 0);
 }
-void Instance::reject(long long query, double stay_away) {
+void Instance::reject(long long query, double stay_away, const Why&) {
   say("reject", ids_.at(query).query, micros(stay_away));
 }
-void Instance::abort(long long query) {
+void Instance::abort(long long query, const Why&) {
   say("respond_error", ids_.at(query).query);
 }
 void Instance::forget(long long query) {
