--- a/rig/clients.hpp
+++ b/rig/clients.hpp
@@ -12,11 +12,13 @@
 #include <string>
 #include <vector>
 
-#include "rig/day.hpp"
-#include "rig/record.hpp"
+#include "days/day.hpp"
+#include "days/record.hpp"
 
 namespace yoketurn::rig {
 
+using namespace days;
+
 // Which router is next: those of a site take turns, whatever the other sites' clients ask between them.
 class Turns {
  public:
--- a/rig/fleet.hpp
+++ b/rig/fleet.hpp
@@ -7,15 +7,17 @@
 #include <string>
 #include <vector>
 
+#include "days/day.hpp"
+#include "days/record.hpp"
 #include "rig/clients.hpp"
-#include "rig/day.hpp"
 #include "rig/gates.hpp"
 #include "rig/machines.hpp"
 #include "rig/processes.hpp"
-#include "rig/record.hpp"
 
 namespace yoketurn::rig {
 
+using namespace days;
+
 struct Result {
   Record record;
   double most_pushed = 0;  // the cold machine that came nearest to falling over: share of the bound
--- a/rig/machines.hpp
+++ b/rig/machines.hpp
@@ -13,12 +13,14 @@
 #include <string>
 #include <vector>
 
+#include "days/day.hpp"
+#include "days/record.hpp"
 #include "examples/standin.hpp"
-#include "rig/day.hpp"
-#include "rig/record.hpp"
 
 namespace yoketurn::rig {
 
+using namespace days;
+
 void after(boost::asio::io_context& context, double seconds, std::function<void()> then);
 
 // What a part needs to be done: when it may still begin, and who is told how it ended.
--- a/rig/main.cpp
+++ b/rig/main.cpp
@@ -5,9 +5,10 @@
 #include <filesystem>
 #include <fstream>
 
-#include "rig/checker.hpp"
+#include "days/checker.hpp"
+#include "days/plot.hpp"
+#include "days/service.hpp"
 #include "rig/fleet.hpp"
-#include "rig/plot.hpp"
 
 namespace {
 
--- a/src/commands/commands.hpp
+++ b/src/commands/commands.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <CLI/CLI.hpp>
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -9,6 +10,14 @@
 
 inline constexpr int kTrouble = 1, kMisuse = 2;
 
+// What the program says it is; stands beside main.
+struct Build {
+  const char* version;
+  const char* revision;
+  std::uint64_t decisions;  // hash of their sources
+};
+extern const Build kBuild;
+
 // Runs the router as the platform starts it when both are empty: RELAY_CONFIG names the configuration.
 int run(std::string config, const std::string& operators);
 
--- a/src/commands/run.cpp
+++ b/src/commands/run.cpp
@@ -19,7 +19,7 @@
     if (!operators.empty()) load_operators_into(config, operators);
     boost::asio::io_context context(1);
     Router router(context, config, log);
-    router.build(YOKETURN_REVISION, YOKETURN_DECISIONS);
+    router.build(kBuild.revision, kBuild.decisions);
     router.start();
     // Nothing that comes over a socket ends the process: what nobody has foreseen is told, and the rest goes
     // on.
--- a/rig/day.cpp
+++ b/src/days/day.cpp
@@ -1,4 +1,4 @@
-#include "rig/day.hpp"
+#include "days/day.hpp"
 
 #include <fmt/format.h>
 
@@ -10,7 +10,7 @@
 #include <set>
 #include <sstream>
 
-namespace yoketurn::rig {
+namespace yoketurn::days {
 
 namespace {
 
@@ -253,4 +253,4 @@
   return read_day(content.str(), path.substr(slash == std::string::npos ? 0 : slash + 1));
 }
 
-}  // namespace yoketurn::rig
+}  // namespace yoketurn::days
--- a/rig/day.hpp
+++ b/src/days/day.hpp
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-namespace yoketurn::rig {
+namespace yoketurn::days {
 
 struct BadDay : std::runtime_error {
   using std::runtime_error::runtime_error;
@@ -72,4 +72,4 @@
 Day read_day(std::string_view text, std::string_view name = "day");  // throws BadDay, naming the entry
 Day load_day(const std::string& path);
 
-}  // namespace yoketurn::rig
+}  // namespace yoketurn::days
--- a/rig/plot.cpp
+++ b/src/days/plot.cpp
@@ -1,4 +1,4 @@
-#include "rig/plot.hpp"
+#include "days/plot.hpp"
 
 #include <fmt/format.h>
 
@@ -9,9 +9,10 @@
 #include <set>
 #include <stdexcept>
 
-#include "rig/checker.hpp"
+#include "days/checker.hpp"
+#include "days/service.hpp"
 
-namespace yoketurn::rig {
+namespace yoketurn::days {
 
 namespace {
 
@@ -123,4 +124,4 @@
     throw std::runtime_error(svg + " was not drawn: is gnuplot installed?");
 }
 
-}  // namespace yoketurn::rig
+}  // namespace yoketurn::days
--- a/rig/plot.hpp
+++ b/src/days/plot.hpp
@@ -4,12 +4,12 @@
 
 #include <string>
 
-#include "rig/day.hpp"
-#include "rig/record.hpp"
+#include "days/day.hpp"
+#include "days/record.hpp"
 
-namespace yoketurn::rig {
+namespace yoketurn::days {
 
 std::string plot_script(const Record& record, const Day& day, const std::string& svg);
 void draw(const Record& record, const Day& day, const std::string& svg);  // throws std::runtime_error
 
-}  // namespace yoketurn::rig
+}  // namespace yoketurn::days
--- a/rig/record.cpp
+++ b/src/days/record.cpp
@@ -1,4 +1,4 @@
-#include "rig/record.hpp"
+#include "days/record.hpp"
 
 #include <fmt/format.h>
 
@@ -8,7 +8,7 @@
 #include <ostream>
 #include <stdexcept>
 
-namespace yoketurn::rig {
+namespace yoketurn::days {
 
 namespace {
 constexpr std::string_view kNames[] = {"asked",  "answered", "unanswered", "sent", "ran",  "repeat",
@@ -74,4 +74,4 @@
   return record;
 }
 
-}  // namespace yoketurn::rig
+}  // namespace yoketurn::days
--- a/rig/record.hpp
+++ b/src/days/record.hpp
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-namespace yoketurn::rig {
+namespace yoketurn::days {
 
 enum class Kind : std::uint8_t {
   // Of a query. router: the one asked.
@@ -51,4 +51,4 @@
 void write(std::ostream& to, const Record& record);
 Record read_record(std::istream& from);  // throws std::runtime_error naming the line
 
-}  // namespace yoketurn::rig
+}  // namespace yoketurn::days
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,9 @@
 #include "commands/commands.hpp"
 
+namespace yoketurn::commands {
+const Build kBuild{YOKETURN_VERSION, YOKETURN_REVISION, YOKETURN_DECISIONS};
+}
+
 int main(int argc, char** argv) {
   using namespace yoketurn::commands;
   if (argc == 1) return run("", "");
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -9,8 +9,8 @@
 #include <random>
 #include <sstream>
 
-#include "rig/checker.hpp"
-#include "rig/plot.hpp"
+#include "days/checker.hpp"
+#include "days/plot.hpp"
 #include "tests/played.hpp"
 
 using namespace yoketurn::rig;
--- a/tests/played.hpp
+++ b/tests/played.hpp
@@ -7,7 +7,8 @@
 #include <functional>
 #include <string>
 
-#include "rig/checker.hpp"
+#include "days/checker.hpp"
+#include "days/service.hpp"
 #include "rig/fleet.hpp"
 
 namespace yoketurn::rig {
