--- a/rig/clients.cpp
+++ b/rig/clients.cpp
@@ -57,24 +57,6 @@
 
 }  // namespace
 
-Turns::Turns(std::vector<int> site_of_router, int sites)
-    : site_of_(std::move(site_of_router)), in_(site_of_.size()), next_(static_cast<std::size_t>(sites)) {}
-
-int Turns::pick(int site) {
-  const auto sites = static_cast<int>(next_.size());
-  for (int i = 0; i < sites; ++i) {
-    const auto at = (site + i) % sites;
-    auto& next = next_[static_cast<std::size_t>(at)];
-    for (std::size_t j = 0; j < site_of_.size(); ++j) {
-      const auto router = (next + j) % site_of_.size();
-      if (site_of_[router] != at || !in_[router]) continue;
-      next = router + 1;
-      return static_cast<int>(router);
-    }
-  }
-  return -1;
-}
-
 Front::Front(asio::io_context& context, const Day& day, std::vector<tcp::endpoint> routers,
              std::vector<int> sites, std::function<double()> clock)
     : context_(context),
@@ -175,7 +157,7 @@
 Clients::~Clients() = default;
 
 void Clients::next() {
-  const auto rate = day_.sites[static_cast<std::size_t>(site_)].rate;
+  const auto rate = day_.sites[static_cast<std::size_t>(site_)].rate * surge;
   if (stopped_ || rate <= 0) return;
   // From when the last one was due, not from when the rig got to it: a busy machine asked less of the
   // routers.
--- a/rig/clients.hpp
+++ b/rig/clients.hpp
@@ -14,25 +14,12 @@
 
 #include "days/day.hpp"
 #include "days/record.hpp"
+#include "days/turns.hpp"
 
 namespace yoketurn::rig {
 
 using namespace days;
 
-// Which router is next: those of a site take turns, whatever the other sites' clients ask between them.
-class Turns {
- public:
-  Turns(std::vector<int> site_of_router, int sites);
-  int pick(int site);  // of this site, or of the next that has one in; -1: there is none
-  void set(int router, bool in) { in_[static_cast<std::size_t>(router)] = in; }
-  bool in(int router) const { return in_[static_cast<std::size_t>(router)]; }
-
- private:
-  std::vector<int> site_of_;
-  std::vector<bool> in_;
-  std::vector<std::size_t> next_;  // by site
-};
-
 class Front {
  public:
   Front(boost::asio::io_context& context, const Day& day, std::vector<boost::asio::ip::tcp::endpoint> routers,
@@ -65,6 +52,7 @@
           std::function<double()> clock, std::function<void(Event)> note);
   ~Clients();
   void stop() { stopped_ = true; }  // asks nothing new
+  double surge = 1;                 // times its rate
 
  private:
   struct Line;
--- a/rig/fleet.cpp
+++ b/rig/fleet.cpp
@@ -12,12 +12,15 @@
 #include <set>
 #include <sstream>
 
+#include "days/terms.hpp"
+
 namespace yoketurn::rig {
 
 namespace {
 
 using tcp = boost::asio::ip::tcp;
 
+constexpr int kMostRouters = 30;
 constexpr double kStartPatience = 5;  // until all routers answer
 constexpr double kTail = 0.6;         // after the longest deadline, until all is counted
 constexpr double kKilledAfter = 6;    // SIGTERM to SIGKILL, as the platform leaves it a while
@@ -94,6 +97,8 @@
 
 Fleet::Fleet(const Day& day, std::string program, std::string folder)
     : day_(day), folder_(std::move(folder)), active_(day.faults.size(), false), program_(std::move(program)) {
+  if (day.routers() > kMostRouters)
+    throw BadDay(fmt::format("sites: more than {} routers, which the rig can't start", kMostRouters));
   zero_ = steady();
   unix_zero_ = unix_now();
   for (std::size_t s = 0; s < day_.sites.size(); ++s) {
@@ -101,8 +106,7 @@
     for (int i = 0; i < site.nodes; ++i) {
       site_of_node_.push_back(static_cast<int>(s));
       node_names_.push_back(fmt::format("{}-{}", site.name, i));
-      cell_.push_back(site.cells.empty() ? i % day_.cells
-                                         : site.cells[static_cast<std::size_t>(i) % site.cells.size()]);
+      cell_.push_back(site.cell(i, day_.cells));
     }
     for (int i = 0; i < site.routers; ++i) {
       site_of_router_.push_back(static_cast<int>(s));
@@ -204,38 +208,15 @@
 }
 
 std::string Fleet::config_text(int router) const {
-  std::string verticals, least, whole, earns, second, zones;
-  for (const auto& v : day_.verticals) {
-    const auto comma = verticals.empty() ? "" : ",";
-    verticals += fmt::format(
-        R"({}{{"name":"{}","semantics":"{}","aim_us":{:.0f},"deadline_us":{:.0f},"credit":{},"late_worth":0.5,)"
-        R"("key_scope":"all","streaming":false,"window_us":{:.0f}}})",
-        comma, v.name, v.semantics, v.aim * 1e6, v.deadline * 1e6, v.credit, v.window * 1e6);
-    least += fmt::format("{}{}", comma, v.least);
-    whole += fmt::format("{}1.0", comma);
-    earns += fmt::format("{}{}", comma, v.least < 1 ? 0.5 : 1.0);
-    second += fmt::format("{}0", comma);
-  }
-  for (const auto& site : day_.sites) zones += fmt::format("{}\"{}\"", zones.empty() ? "" : ",", site.name);
   const auto at = [](const tcp::endpoint& e) {
     return fmt::format("{}:{}", e.address().to_string(), e.port());
   };
   const auto r = static_cast<std::size_t>(router);
-  return fmt::format(
-      R"({{"name":"{}","listen":"{}","discovery":"{}","seed":"{:016x}",)"
-      R"("limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{},"settings":{{)"
-      R"("balancers":{},"resolution_us":1000,"zone":"{}","zones":[{}],"worth_by":"work","discovery":"push",)"
-      R"("bounds":{{"cancel":true,"max_attempts":3,"may_duplicate":true,"retry_after":true,)"
-      R"("max_retry_after_us":500000,"max_open":4000,"streams_per_conn":100,"connect_timeout_us":250000,)"
-      R"("conn_idle_us":15000000}},"classes":[{}],"customers":[],)"
-      R"("contract":{{"cold_us":{:.0f},"fall_multiple":{},"overload_for_us":{:.0f},"start_capacity":{}}},)"
-      R"("domain":{{"places":{},"span":{},"slices":{},"parts_a_call":1,"min_share":[{}],)"
-      R"("whole_at":[{}],"partial_earns":[{}],"second_step":[{}]}}}}}})",
-      router_names_[r], at(listens_[r]), at(agents_[r]->at()),
-      day_.seed * 2654435761U + static_cast<unsigned>(router), agents_[r]->whole, day_.routers(),
-      day_.sites[static_cast<std::size_t>(site_of_router_[r])].name, zones, verticals, day_.cold * 1e6,
-      day_.fall_multiple, day_.fall_for * 1e6, day_.start, day_.cells, day_.span, day_.shards, least, whole,
-      earns, second);
+  return fmt::format(R"({{"name":"{}","listen":"{}","discovery":"{}","seed":"{:016x}",)"
+                     R"("limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{},"settings":{}}})",
+                     router_names_[r], at(listens_[r]), at(agents_[r]->at()),
+                     day_.seed * 2654435761U + static_cast<unsigned>(router), agents_[r]->whole,
+                     settings_text(day_, day_.sites[static_cast<std::size_t>(site_of_router_[r])].name));
 }
 
 // --- the routers
@@ -327,40 +308,8 @@
 
 // --- the faults
 
-std::vector<int> Fleet::routers_of(const std::string& party) const {
-  std::vector<int> found;
-  for (const auto& one : split_parties(party)) {
-    const auto colon = one.find(':');
-    const auto kind = one.substr(0, colon);
-    const auto name = colon == std::string::npos ? "" : one.substr(colon + 1);
-    for (std::size_t r = 0; r < router_names_.size(); ++r) {
-      const auto& site = day_.sites[static_cast<std::size_t>(site_of_router_[r])].name;
-      if (one == "all" || (kind == "site" && site == name) || (kind == "routers" && site == name) ||
-          (kind == "router" && router_names_[r] == name))
-        found.push_back(static_cast<int>(r));
-    }
-  }
-  return found;
-}
-
-std::vector<int> Fleet::nodes_of(const std::string& party) const {
-  std::vector<int> found;
-  for (const auto& one : split_parties(party)) {
-    const auto colon = one.find(':');
-    const auto kind = one.substr(0, colon);
-    const auto name = colon == std::string::npos ? "" : one.substr(colon + 1);
-    for (std::size_t n = 0; n < node_names_.size(); ++n) {
-      const auto& site = day_.sites[static_cast<std::size_t>(site_of_node_[n])].name;
-      if (one == "all" || (kind == "site" && site == name) || (kind == "nodes" && site == name) ||
-          (kind == "node" && node_names_[n] == name))
-        found.push_back(static_cast<int>(n));
-    }
-  }
-  return found;
-}
-
 std::vector<int> Fleet::processes_of(const std::string& party) const {
-  auto found = routers_of(party);
+  auto found = routers_of(day_, party);
   for (const auto& one : split_parties(party))
     if (one.starts_with("auditor:"))
       found.push_back(static_cast<int>(router_names_.size()) + std::atoi(one.c_str() + 8));
@@ -387,10 +336,10 @@
     };
     std::set<std::pair<int, int>> hit;
     const auto to = fault.to.empty() ? std::string("all") : fault.to;
-    for (const auto r : routers_of(fault.of))
-      for (const auto n : nodes_of(to)) hit.insert({r, n});
-    for (const auto r : routers_of(to))
-      for (const auto n : nodes_of(fault.of)) hit.insert({r, n});
+    for (const auto r : routers_of(day_, fault.of))
+      for (const auto n : nodes_of(day_, to)) hit.insert({r, n});
+    for (const auto r : routers_of(day_, to))
+      for (const auto n : nodes_of(day_, fault.of)) hit.insert({r, n});
     // A site cut from all the others still reaches itself.
     const auto cut = fault.to.empty() && fault.of.starts_with("site:");
     for (const auto& [r, n] : hit)
@@ -401,13 +350,18 @@
     for (std::size_t n = 0; n < machines_.size(); ++n) ports_[r][n]->set(ways[r][n]);
 }
 
+void Fleet::surge(const std::string& party, double times) {
+  for (const auto r : routers_of(day_, party))
+    clients_[static_cast<std::size_t>(site_of_router_[static_cast<std::size_t>(r)])]->surge = times;
+}
+
 void Fleet::begin(std::size_t f) {
   if (over_) return;
   const auto& fault = day_.faults[f];
   active_[f] = true;
   note({0, Kind::fault, -1, -1, "", -1, -1, 1, 0, fault.what + " " + fault.of});
   const auto routers = processes_of(fault.of);
-  const auto nodes = nodes_of(fault.of);
+  const auto nodes = nodes_of(day_, fault.of);
   if (fault.what == "lose") {
     for (const auto n : nodes) {
       machines_[static_cast<std::size_t>(n)]->die();
@@ -442,6 +396,7 @@
     }
   if (fault.what == "slow")
     for (const auto n : nodes) machines_[static_cast<std::size_t>(n)]->slow = fault.amount;
+  if (fault.what == "surge") surge(fault.of, fault.amount);
   if (fault.what == "drain")
     for (const auto n : nodes) {
       machines_[static_cast<std::size_t>(n)]->drain(true);
@@ -464,7 +419,7 @@
       if (fault.amount > 0) agent.break_off();
     }
     if (fault.what == "fork") {
-      for (const auto n : nodes_of(fault.to)) agent.forked.insert(n);
+      for (const auto n : nodes_of(day_, fault.to)) agent.forked.insert(n);
       agent.said = 0;
       tell(r);
       agent.break_off();
@@ -476,7 +431,7 @@
       changed(n);
     }
   if (fault.what == "reset")
-    for (const auto r : routers_of(fault.to.empty() ? "all" : fault.to))
+    for (const auto r : routers_of(day_, fault.to.empty() ? "all" : fault.to))
       for (const auto n : nodes) ports_[static_cast<std::size_t>(r)][static_cast<std::size_t>(n)]->reset();
   relink();
   if (fault.length > 0) after(context_, fault.length, [this, f] { finish(f); });
@@ -489,7 +444,7 @@
   active_[f] = false;
   note({0, Kind::fault, -1, -1, "", -1, -1, 0, 0, fault.what + " " + fault.of});
   const auto routers = processes_of(fault.of);
-  const auto nodes = nodes_of(fault.of);
+  const auto nodes = nodes_of(day_, fault.of);
   if (fault.what == "lose")
     for (const auto n : nodes) {
       auto& machine = *machines_[static_cast<std::size_t>(n)];
@@ -514,6 +469,7 @@
     }
   if (fault.what == "slow")
     for (const auto n : nodes) machines_[static_cast<std::size_t>(n)]->slow = 1;
+  if (fault.what == "surge") surge(fault.of, 1);
   if (fault.what == "drain")
     for (const auto n : nodes) {
       machines_[static_cast<std::size_t>(n)]->drain(false);
--- a/rig/fleet.hpp
+++ b/rig/fleet.hpp
@@ -57,11 +57,10 @@
   void begin(std::size_t fault);
   void finish(std::size_t fault);
   void relink();
+  void surge(const std::string& party, double times);
   void watch_processes();
   void keep_time(double due);
   void read_logs();
-  std::vector<int> routers_of(const std::string& party) const;
-  std::vector<int> nodes_of(const std::string& party) const;
   std::vector<int> processes_of(const std::string& party) const;  // routers, auditors behind them
   std::size_t all() const { return router_names_.size() + static_cast<std::size_t>(day_.auditors); }
 
--- a/rig/machines.cpp
+++ b/rig/machines.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr double kPlain = 0.4;             // of a service time: the share that does not vary
 constexpr double kShortestDelay = 0.0003;  // below it no timer is set
 constexpr std::size_t kMostHeld = 20'000;
 
@@ -127,8 +126,7 @@
   const auto repeats = keyed && effects_.repeats(work.key, work.shard, window, work.arrived);
   note_({now, repeats ? Kind::repeat : Kind::ran, work.router, number_, work.query, -1, work.shard, work.step,
          0, work.key});
-  const auto time = day_.service * slow / capacity(now) *
-                    (kPlain + (1 - kPlain) * std::exponential_distribution<>(1)(chance_));
+  const auto time = day_.service * slow / capacity(now) * draw(day_, chance_);
   after(context_, repeats ? time / 4 : time, [this, life = life_, work = std::move(work)] {
     if (life != life_) return;
     --busy_;
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -219,34 +219,56 @@
 // What is believed of a node.
 enum class Belief : std::uint8_t { unheard, trusted, cold, suspect, on_trial };
 
-class Brain {
+// What is asked of whoever decides; `Brain` is the module. Others stand in its place where designs are
+// compared.
+class Decisions {
  public:
-  Brain(const Settings& settings, std::uint64_t seed, double now);
-  ~Brain();
-  Brain(Brain&&) noexcept;
-  Brain& operator=(Brain&&) noexcept;
+  virtual ~Decisions() = default;
 
   // The three questions.
-  Answer route(Query& q, double now);
-  Answer settle(Query& q, int leaf, int call, double now);  // the outcome stands in the call
-  double wait(const Query& q, double now) const;
+  virtual Answer route(Query& q, double now) = 0;
+  virtual Answer settle(Query& q, int leaf, int call, double now) = 0;  // the outcome stands in the call
+  virtual double wait(const Query& q, double now) const = 0;
 
-  void take(int requests, double now);  // so many queries and parts came in
+  virtual void take(int requests, double now) = 0;  // so many queries and parts came in
   // told: discovery says so now; else it is what was known last, before the start.
-  void list(std::span<const Host> hosts, bool complete, bool told = true);
-  void forget(int node);  // gone, with nothing out there: the next of this number is unheard of
-  void list_failed(double now);
-  bool tick(double now);  // whether the list must be asked for
-  double period() const;
-  std::vector<Word> tell();  // to all other routers: what there is to tell since the last call
-  void hear(Word word, double now);
-  void believe(std::span<const SiteShare> sites);  // by zone; empty: all are sound
+  virtual void list(std::span<const Host> hosts, bool complete, bool told = true) = 0;
+  virtual void forget(int node) = 0;  // gone, with nothing out there: the next of this number is unheard of
+  virtual void list_failed(double now) = 0;
+  virtual bool tick(double now) = 0;  // whether the list must be asked for
+  virtual double period() const = 0;
+  virtual std::vector<Word> tell() = 0;  // to all other routers: what there is to tell since the last call
+  virtual void hear(Word word, double now) = 0;
+  virtual void believe(std::span<const SiteShare> sites) = 0;  // by zone; empty: all are sound
 
   // Has what is passed over and what waits noted from now on, at most kMostJudged an answer.
-  void explain(bool on);
-  std::span<const Judged> judged() const;  // of the last answer
-  long long unjudged() const;              // choices there was no room to note, since the start
-  Belief belief(int node, double now) const;
+  virtual void explain(bool on) = 0;
+  virtual std::span<const Judged> judged() const = 0;  // of the last answer
+  virtual long long unjudged() const = 0;              // choices there was no room to note, since the start
+  virtual Belief belief(int node, double now) const = 0;
+};
+
+class Brain final : public Decisions {
+ public:
+  Brain(const Settings& settings, std::uint64_t seed, double now);
+  ~Brain() override;
+
+  Answer route(Query& q, double now) override;
+  Answer settle(Query& q, int leaf, int call, double now) override;
+  double wait(const Query& q, double now) const override;
+  void take(int requests, double now) override;
+  void list(std::span<const Host> hosts, bool complete, bool told = true) override;
+  void forget(int node) override;
+  void list_failed(double now) override;
+  bool tick(double now) override;
+  double period() const override;
+  std::vector<Word> tell() override;
+  void hear(Word word, double now) override;
+  void believe(std::span<const SiteShare> sites) override;
+  void explain(bool on) override;
+  std::span<const Judged> judged() const override;
+  long long unjudged() const override;
+  Belief belief(int node, double now) const override;
 
  private:
   struct State;
--- a/src/days/day.cpp
+++ b/src/days/day.cpp
@@ -40,6 +40,7 @@
     "pause",         // routers are stopped, and continued
     "hup",    // routers are told to read their files again, with the lines of `to` among those of `sites`
     "slow",   // nodes take `amount` times as long
+    "surge",  // the clients of a site ask `amount` times as much
     "drain",  // nodes drain, and are ready again after `length`
 };
 
@@ -94,9 +95,9 @@
   const auto path = "sites." + name + ".";
   std::string cells;
   fill(tree, path,
-       {{"nodes", to(site.nodes, path + "nodes", 0, 200)},
-        {"routers", to(site.routers, path + "routers", 0, 30)},
-        {"rate", to(site.rate, path + "rate", 0, 5000)},
+       {{"nodes", to(site.nodes, path + "nodes", 0, 5000)},
+        {"routers", to(site.routers, path + "routers", 0, 1000)},
+        {"rate", to(site.rate, path + "rate", 0, 1e6)},
         {"cells", to(cells)}});
   std::istringstream words(cells);
   for (std::string word; words >> word;)
@@ -109,7 +110,7 @@
   const auto path = "verticals." + name + ".";
   fill(tree, path,
        {{"semantics", to(v.semantics)},
-        {"parts", to(v.parts, path + "parts", 1, 64)},
+        {"parts", to(v.parts, path + "parts", 1, 256)},
         {"mix", to(v.mix, path + "mix", 0, 1)},
         {"credit", to(v.credit, path + "credit", 0, 1000)},
         {"aim", to(v.aim, path + "aim", 0.01, 60)},
@@ -208,6 +209,8 @@
         {"span", to(day.span, "span", 1, 1000)},
         {"cores", to(day.cores, "cores", 0.1, 64)},
         {"service", to(day.service, "service", 1e-4, 10)},
+        {"times", to(day.times)},
+        {"sigma", to(day.sigma, "sigma", 0, 5)},
         {"queue", to(day.queue, "queue", 1, 10000)},
         {"cold", to(day.cold, "cold", 0, 600)},
         {"start", to(day.start, "start", 0.01, 1)},
@@ -228,7 +231,9 @@
   day.seed = static_cast<unsigned>(seed);
   if (day.sites.empty()) throw BadDay("sites: there is none");
   if (day.nodes() < 1 || day.routers() < 1) throw BadDay("sites: there is no node or no router");
-  if (day.routers() > 30) throw BadDay("sites: more than 30 routers");
+  if (day.times != "shifted" && day.times != "exponential" && day.times != "constant" &&
+      day.times != "lognormal")
+    throw BadDay("times: '" + day.times + "' where shifted, exponential, constant or lognormal is expected");
   if (day.verticals.empty())
     day.verticals = {{"recherche", "safe", 3, 0.6, 1, 0.4, 1.5, 1, 1},
                      {"bilan-mensuel", "safe", 8, 0.1, 12, 0.8, 2, 1, 0.75},
@@ -244,6 +249,39 @@
   return day;
 }
 
+namespace {
+
+// By its kind: a party may name routers, nodes, or both. numbers: of one site's, from its first on.
+std::vector<int> members(const Day& day, const std::string& party, const char* many, const char* one,
+                         int SiteOf::*count) {
+  std::vector<int> found;
+  std::istringstream parties(party);
+  for (std::string each; std::getline(parties, each, ',');) {
+    const auto colon = each.find(':');
+    const auto kind = each.substr(0, colon);
+    const auto name = colon == std::string::npos ? "" : each.substr(colon + 1);
+    int first = 0;
+    for (const auto& site : day.sites) {
+      for (int i = 0; i < site.*count; ++i)
+        if (each == "all" || ((kind == "site" || kind == many) && name == site.name) ||
+            (kind == one && name == fmt::format("{}-{}", site.name, i)))
+          found.push_back(first + i);
+      first += site.*count;
+    }
+  }
+  return found;
+}
+
+}  // namespace
+
+std::vector<int> routers_of(const Day& day, const std::string& party) {
+  return members(day, party, "routers", "router", &SiteOf::routers);
+}
+
+std::vector<int> nodes_of(const Day& day, const std::string& party) {
+  return members(day, party, "nodes", "node", &SiteOf::nodes);
+}
+
 Day load_day(const std::string& path) {
   std::ifstream file(path);
   std::stringstream content;
--- a/src/days/day.hpp
+++ b/src/days/day.hpp
@@ -2,6 +2,7 @@
 // Times are seconds, rates a second.
 #pragma once
 
+#include <random>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -18,6 +19,10 @@
   int nodes = 0, routers = 0;
   double rate = 0;         // queries its clients ask
   std::vector<int> cells;  // of its nodes in turn; empty: all in turn
+
+  int cell(int node, int all) const {  // of its node of this number
+    return cells.empty() ? node % all : cells[static_cast<std::size_t>(node) % cells.size()];
+  }
 };
 
 // What a fault is about: all, site:S (its nodes and routers), nodes:S, routers:S, node:S-3, router:S-1,
@@ -46,7 +51,9 @@
   double seconds = 20;
   bool plan = true;  // the routers' operators' file switches the plan for sites on
   int shards = 8, cells = 4, span = 1;
-  double cores = 1, service = 0.02;  // of a node
+  double cores = 1, service = 0.02;  // of a node; the mean of a part's work
+  std::string times = "shifted";     // how that is spread, see draw()
+  double sigma = 1;                  // of lognormal times
   int queue = 40;                    // parts that wait there
   double cold = 6, start = 0.3, fall_multiple = 2, fall_for = 1;
   double grace = 1;        // drains
@@ -69,6 +76,21 @@
   int routers() const;
 };
 
+// A part's work, of mean 1, by `times`: shifted (0.4 and an exponential rest), exponential, constant,
+// lognormal.
+template <class Chance>
+double draw(const Day& day, Chance& chance) {
+  if (day.times == "constant") return 1;
+  if (day.times == "lognormal")
+    return std::lognormal_distribution<>(-day.sigma * day.sigma / 2, day.sigma)(chance);
+  const auto rest = std::exponential_distribution<>(1)(chance);
+  return day.times == "exponential" ? rest : 0.4 + 0.6 * rest;
+}
+
+// Those of a party (as in a fault) among the routers or nodes, by number.
+std::vector<int> routers_of(const Day& day, const std::string& party);
+std::vector<int> nodes_of(const Day& day, const std::string& party);
+
 Day read_day(std::string_view text, std::string_view name = "day");  // throws BadDay, naming the entry
 Day load_day(const std::string& path);
 
--- a/src/days/service.cpp
+++ b/src/days/service.cpp
@@ -27,7 +27,7 @@
   for (const auto& fate : fates_) {
     if (fate.began < 0 || fate.began < from || fate.began >= to) continue;
     if (vertical >= 0 && fate.vertical != vertical) continue;
-    const auto& v = day_.verticals[static_cast<std::size_t>(fate.vertical)];
+    const auto& v = verticals_[static_cast<std::size_t>(fate.vertical)];
     ++share.asked;
     share.most_utility += v.credit;
     if (fate.status == 200 && fate.took <= v.aim) {
--- a/src/days/service.hpp
+++ b/src/days/service.hpp
@@ -18,7 +18,7 @@
 
 class Service {
  public:
-  explicit Service(const Day& day) : day_(day) {}
+  explicit Service(const Day& day) : verticals_(day.verticals) {}
   void take(const Passing& passing);
   Share share(double from, double to, int vertical = -1) const;
 
@@ -28,7 +28,7 @@
     short vertical = -1, status = 0;
     bool partial = false;
   };
-  const Day& day_;
+  std::vector<Vertical> verticals_;
   std::vector<Fate> fates_;  // by question
 };
 
--- /dev/null
+++ b/src/emulator/designs.cpp
@@ -0,0 +1,257 @@
+#include "emulator/designs.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <map>
+#include <random>
+#include <stdexcept>
+
+#include "estimates/samples.hpp"
+
+namespace yoketurn::emulator {
+
+namespace {
+
+constexpr double kPeriod = 0.1;
+constexpr double kWindow = 10;       // of latencies
+constexpr double kLateShare = 0.95;  // of them: after it a part is late
+constexpr double kStartDelay = 0.1;  // before any is known
+constexpr double kCopyShare = 0.1;   // of parts that are copied, where the late ones are
+constexpr double kMargin = 0.022;    // before a query's end
+constexpr double kAgain = 0.01;      // until a part that failed goes out again
+constexpr double kRounding = 1e-9;
+
+class Plain final : public Decisions {
+ public:
+  Plain(const Settings& settings, const Design& design, std::uint64_t seed,
+        std::function<double(int node)> waiting)
+      : is_(settings),
+        design_(design),
+        chance_(static_cast<std::uint_fast32_t>(seed)),
+        true_waiting_(std::move(waiting)) {}
+
+  Answer route(Query& q, double now) override {
+    q.admitted = true;
+    auto answer = ending(q, now);
+    if (answer.end != End::none) return answer;
+    for (std::size_t i = 0; i < q.leaves.size(); ++i)
+      if (!q.leaves[i].in) place(q, static_cast<int>(i), answer, now);
+    return answer;
+  }
+
+  Answer settle(Query& q, int leaf_index, int call_index, double now) override {
+    auto& leaf = q.leaves[static_cast<std::size_t>(leaf_index)];
+    const auto& call = leaf.calls[static_cast<std::size_t>(call_index)];
+    if (call.outcome != Outcome::unsent) {
+      auto& out = out_[call.node];
+      out = std::max(out - 1, 0);
+    }
+    Answer answer;
+    if (call.outcome != Outcome::success || leaf.in) return answer;
+    latencies_.add(now, {now - call.sent, false});
+    leaf.in = true;
+    for (std::size_t i = 0; i < leaf.calls.size(); ++i)
+      if (leaf.calls[i].pending())
+        answer.cancels.push_back({leaf_index, static_cast<int>(i), why(Reason::race_lost)});
+    return answer;
+  }
+
+  double wait(const Query& q, double now) const override {
+    auto due = q.expires - kMargin;
+    for (const auto& leaf : q.leaves)
+      if (!leaf.in)
+        due = std::min(due, leaf.any_pending() ? std::max(copy_at(leaf), now + kAgain) : now + kAgain);
+    return std::max(due - now, 1e-3);
+  }
+
+  void take(int, double) override {}
+  void list(std::span<const Host> hosts, bool complete, bool) override {
+    if (complete)
+      for (auto& host : hosts_) host.up = false;
+    for (const auto& host : hosts) {
+      if (host.node < 0) continue;
+      if (static_cast<std::size_t>(host.node) >= hosts_.size())
+        hosts_.resize(static_cast<std::size_t>(host.node) + 1);
+      hosts_[static_cast<std::size_t>(host.node)] = host;
+    }
+    by_cell_.assign(static_cast<std::size_t>(is_.cells), {});
+    for (const auto& host : hosts_)
+      if (host.up && host.cell >= 0 && host.cell < is_.cells)
+        by_cell_[static_cast<std::size_t>(host.cell)].push_back(host.node);
+  }
+  void forget(int) override {}
+  void list_failed(double) override {}
+  bool tick(double now) override {
+    auto samples = latencies_.recent(now);
+    if (samples.size() >= 10) late_ = quantile(samples, kLateShare);
+    return false;
+  }
+  double period() const override { return kPeriod; }
+  std::vector<Word> tell() override { return {}; }
+  void hear(Word, double) override {}
+  void believe(std::span<const SiteShare>) override {}
+  void explain(bool) override {}
+  std::span<const Judged> judged() const override { return {}; }
+  long long unjudged() const override { return 0; }
+  Belief belief(int, double) const override { return Belief::trusted; }
+
+ private:
+  const Vertical& of(const Query& q) const { return is_.verticals[static_cast<std::size_t>(q.vertical)]; }
+
+  double copy_at(const Leaf& leaf) const {
+    if (design_.copies != Design::Copies::late || leaf.calls.size() != 1)
+      return std::numeric_limits<double>::infinity();
+    return leaf.calls[0].sent + late_;
+  }
+
+  Answer ending(const Query& q, double now) {
+    Answer answer;
+    double in = 0, possible = 0;
+    for (const auto& leaf : q.leaves) {
+      if (leaf.in) in += leaf.weight;
+      if (leaf.in || leaf.any_pending() || may_send(q, leaf, now)) possible += leaf.weight;
+    }
+    const auto& v = of(q);
+    const auto over = now >= q.expires - kMargin;
+    if (in >= v.whole - kRounding)
+      answer.end = End::merge_whole;
+    else if ((over || possible <= in + kRounding) && in >= v.least - kRounding)
+      answer.end = End::merge_part;
+    else if (over || possible < v.least - kRounding) {
+      const auto harmless =
+          v.effect == Effect::repeatable ||
+          std::all_of(q.leaves.begin(), q.leaves.end(), [](const Leaf& leaf) {
+            return std::none_of(leaf.calls.begin(), leaf.calls.end(), std::mem_fn(&Call::may_have_run));
+          });
+      answer.end = harmless ? End::reject : End::abort;
+      answer.stay_away = is_.max_stay_away;
+      answer.why = why(over ? Reason::time_over : Reason::cannot_reach);
+    }
+    return answer;
+  }
+
+  bool may_send(const Query& q, const Leaf& leaf, double now) const {
+    if (leaf.calls.empty()) return true;
+    if (static_cast<int>(leaf.calls.size()) >= is_.max_calls) return false;
+    const auto& v = of(q);
+    if (v.effect == Effect::repeatable) return true;
+    const auto ran = std::find_if(leaf.calls.begin(), leaf.calls.end(), std::mem_fn(&Call::may_have_run));
+    if (ran == leaf.calls.end()) return true;
+    return v.effect == Effect::deduplicated && now < ran->sent + v.window - kMargin;
+  }
+
+  void place(const Query& q, int index, Answer& answer, double now) {
+    const auto& leaf = q.leaves[static_cast<std::size_t>(index)];
+    const auto out = leaf.any_pending();
+    const auto copies = of(q).effect == Effect::repeatable && design_.copies != Design::Copies::none;
+    const auto at_once = design_.copies == Design::Copies::at_once;
+    auto copy = false;
+    if (out) {
+      copy = copies && !at_once && leaf.calls.size() == 1 && now >= copy_at(leaf) - 1e-6 &&
+             copied_.recent(now) + 1 <= kCopyShare * sent_.recent(now);
+      if (!copy) return;
+    } else if (!may_send(q, leaf, now) || (!leaf.calls.empty() && now < leaf.calls.back().sent + kAgain)) {
+      return;
+    }
+    send(q, index,
+         copy                 ? Reason::copy
+         : leaf.calls.empty() ? Reason::first
+                              : Reason::failed_again,
+         answer, now, kNone);
+    if (copies && at_once && leaf.calls.empty() && !answer.sends.empty() && answer.sends.back().leaf == index)
+      send(q, index, Reason::copy, answer, now, answer.sends.back().node);
+  }
+
+  void send(const Query& q, int index, Reason reason, Answer& answer, double now, int but) {
+    const auto node = choose(q.leaves[static_cast<std::size_t>(index)], now, but);
+    if (node == kNone) return;
+    ++out_[node];
+    (reason == Reason::copy ? copied_ : sent_).add(now);
+    answer.sends.push_back(
+        {index, node, next_group_++, std::max(q.expires - kMargin - now, 0.001), why(reason)});
+  }
+
+  int choose(const Leaf& leaf, double now, int but) {
+    std::vector<int> holders, others;
+    for (int i = 0; i < std::min(is_.span, is_.cells); ++i)
+      for (const auto node : by_cell_.empty()
+                                 ? std::vector<int>{}
+                                 : by_cell_[static_cast<std::size_t>((leaf.shard + i) % is_.cells)]) {
+        const auto& host = hosts_[static_cast<std::size_t>(node)];
+        if (node == but || (host.born > 0 && now < host.born + is_.cold_time)) continue;
+        const auto tried =
+            std::any_of(leaf.calls.begin(), leaf.calls.end(), [&](const Call& c) { return c.node == node; });
+        (tried ? others : holders).push_back(node);
+      }
+    if (holders.empty()) holders = others;
+    if (holders.empty()) return kNone;
+    const auto any = [&] { return holders[chance_() % holders.size()]; };
+    const auto least = [&](const std::function<double(int)>& waits) {
+      auto best = kNone;
+      auto value = std::numeric_limits<double>::infinity();
+      for (const auto node : holders) {
+        const auto each = waits(node) + 1e-6 * static_cast<double>(chance_() % 1000);
+        if (each < value) value = each, best = node;
+      }
+      return best == kNone ? any() : best;
+    };
+    const auto mine = [&](int node) { return static_cast<double>(out_[node]); };
+    switch (design_.choice) {
+      case Design::Choice::round_robin:
+        return holders[static_cast<std::size_t>(turn_[leaf.shard]++) % holders.size()];
+      case Design::Choice::fewest_waiting:
+        return least(mine);
+      case Design::Choice::two_choices: {
+        const auto one = any(), two = any();
+        return mine(two) < mine(one) ? two : one;
+      }
+      case Design::Choice::all_seeing:
+        return least(true_waiting_);
+      case Design::Choice::module:
+      case Design::Choice::random:
+        return any();
+    }
+    return kNone;
+  }
+
+  const Settings& is_;
+  Design design_;
+  std::ranlux24_base chance_;
+  std::function<double(int node)> true_waiting_;
+  std::vector<Host> hosts_;
+  std::vector<std::vector<int>> by_cell_;
+  std::map<int, int> out_, turn_;
+  Window latencies_{kWindow};
+  Tally sent_{kWindow}, copied_{kWindow};
+  double late_ = kStartDelay;
+  int next_group_ = 0;
+};
+
+}  // namespace
+
+Design design_named(const std::string& name) {
+  static const std::map<std::string, Design::Choice> kChoices{
+      {"module", Design::Choice::module},           {"random", Design::Choice::random},
+      {"round-robin", Design::Choice::round_robin}, {"fewest-waiting", Design::Choice::fewest_waiting},
+      {"two-choices", Design::Choice::two_choices}, {"all-seeing", Design::Choice::all_seeing}};
+  for (const auto& [known, choice] : kChoices) {
+    if (!name.starts_with(known)) continue;
+    const auto rest = name.substr(known.size());
+    const auto of_module = choice == Design::Choice::module;
+    if (rest.empty()) return {choice, Design::Copies::late, true};
+    if (rest == "-no-copies") return {choice, Design::Copies::none, false};
+    if (rest == "-at-once" && !of_module) return {choice, Design::Copies::at_once, true};
+  }
+  throw std::invalid_argument(
+      "'" + name +
+      "' where module, random, round-robin, fewest-waiting, two-choices or all-seeing is expected, with "
+      "-no-copies or (but for module) -at-once behind");
+}
+
+std::unique_ptr<Decisions> plain(const Settings& settings, const Design& design, std::uint64_t seed,
+                                 std::function<double(int node)> waiting) {
+  return std::make_unique<Plain>(settings, design, seed, std::move(waiting));
+}
+
+}  // namespace yoketurn::emulator
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -325,8 +325,6 @@
 Brain::Brain(const Settings& settings, std::uint64_t seed, double now)
     : s_(std::make_unique<State>(settings, seed, now)) {}
 Brain::~Brain() = default;
-Brain::Brain(Brain&&) noexcept = default;
-Brain& Brain::operator=(Brain&&) noexcept = default;
 
 Answer Brain::route(Query& q, double now) {
   auto& s = *s_;
--- a/src/queries/queries.cpp
+++ b/src/queries/queries.cpp
@@ -5,24 +5,28 @@
 namespace yoketurn {
 
 Queries::Queries(const Settings& settings, std::uint64_t seed, double now, DueTimes& due, Actions& actions)
-    : brain_(settings, seed, now), sites_(settings, seed), due_(due), actions_(actions) {
+    : Queries(std::make_unique<Brain>(settings, seed, now), settings, seed, due, actions) {}
+
+Queries::Queries(std::unique_ptr<Decisions> decisions, const Settings& settings, std::uint64_t seed,
+                 DueTimes& due, Actions& actions)
+    : decisions_(std::move(decisions)), sites_(settings, seed), due_(due), actions_(actions) {
   for (const auto& vertical : settings.verticals) second_steps_.push_back(vertical.second_step);
 }
 
 // What is believed of sites is told before the module is asked again: the same turn that brings the evidence
 // sends nothing more there.
 void Queries::believe() {
-  if (sites_.changed()) brain_.believe(sites_.shares());
+  if (sites_.changed()) decisions_->believe(sites_.shares());
 }
 
 bool Queries::tick(double now) {
   sites_.tick(now);
   believe();
-  return brain_.tick(now);
+  return decisions_->tick(now);
 }
 
 void Queries::take(long long number, Query start, double now) {
-  brain_.take(1, now);
+  decisions_->take(1, now);
   auto held = std::make_unique<Held>();
   held->query = std::move(start);
   held->query.taken = now;
@@ -32,7 +36,7 @@
 }
 
 int Queries::take_part(long long number, Leaf leaf, double now) {
-  brain_.take(1, now);
+  decisions_->take(1, now);
   const auto at = held_.find(number);
   if (at == held_.end() || at->second->query.ended) return kNone;
   auto& held = *at->second;
@@ -63,7 +67,7 @@
   sites_.ended(call.node, call.sent, outcome, now);
   believe();
   if (witness_ != nullptr) witness_->settled(number, held.query, leaf, call_number, now);
-  perform(number, held, brain_.settle(held.query, leaf, call_number, now), now);
+  perform(number, held, decisions_->settle(held.query, leaf, call_number, now), now);
   touch(number, held);
 }
 
@@ -78,7 +82,7 @@
 }
 
 void Queries::perform(long long number, Held& held, const Answer& answer, double now) {
-  if (witness_ != nullptr) witness_->decided(number, held.query, answer, brain_.judged(), now);
+  if (witness_ != nullptr) witness_->decided(number, held.query, answer, decisions_->judged(), now);
   for (const auto& cancel : answer.cancels) actions_.cancel(number, cancel);
   for (const auto& send : answer.sends) {
     auto& calls = held.query.leaves[static_cast<std::size_t>(send.leaf)].calls;
@@ -142,10 +146,10 @@
     const auto number = touched_[i];
     auto& held = *held_.at(number);
     believe();
-    if (!held.query.ended) perform(number, held, brain_.route(held.query, now), now);
+    if (!held.query.ended) perform(number, held, decisions_->route(held.query, now), now);
     held.touched = false;
     if (!held.query.ended) {
-      due_.set(number, now + brain_.wait(held.query, now), [this, number](double) {
+      due_.set(number, now + decisions_->wait(held.query, now), [this, number](double) {
         if (const auto at = held_.find(number); at != held_.end()) touch(number, *at->second);
       });
     } else if (held.pending == 0) {
@@ -154,7 +158,7 @@
     }
   }
   touched_.clear();
-  if (const auto words = brain_.tell(); !words.empty()) actions_.tell(words);
+  if (const auto words = decisions_->tell(); !words.empty()) actions_.tell(words);
 }
 
 }  // namespace yoketurn
--- a/src/queries/queries.hpp
+++ b/src/queries/queries.hpp
@@ -32,25 +32,28 @@
 class Queries {
  public:
   Queries(const Settings& settings, std::uint64_t seed, double now, DueTimes& due, Actions& actions);
+  // With others in the place of the module.
+  Queries(std::unique_ptr<Decisions> decisions, const Settings& settings, std::uint64_t seed, DueTimes& due,
+          Actions& actions);
 
   void list(std::span<const Host> hosts, bool complete, double now, bool told = true) {
-    brain_.list(hosts, complete, told);
+    decisions_->list(hosts, complete, told);
     sites_.list(hosts, complete, now);
   }
   void forget_node(int node) {
-    brain_.forget(node);
+    decisions_->forget(node);
     sites_.forget(node);
   }
-  void hear(Word word, double now) { brain_.hear(word, now); }
-  void list_failed(double now) { brain_.list_failed(now); }
+  void hear(Word word, double now) { decisions_->hear(word, now); }
+  void list_failed(double now) { decisions_->list_failed(now); }
   bool tick(double now);
   Sites& sites() { return sites_; }
-  double period() const { return brain_.period(); }
-  Belief belief(int node, double now) const { return brain_.belief(node, now); }
-  long long unjudged() const { return brain_.unjudged(); }
+  double period() const { return decisions_->period(); }
+  Belief belief(int node, double now) const { return decisions_->belief(node, now); }
+  long long unjudged() const { return decisions_->unjudged(); }
   void witness(Witness* witness) {  // is told of everything from now on; nullptr: nobody is
     witness_ = witness;
-    brain_.explain(witness != nullptr);
+    decisions_->explain(witness != nullptr);
   }
 
   bool holds(long long query) const { return held_.contains(query); }
@@ -80,7 +83,7 @@
 
   void believe();
 
-  Brain brain_;
+  std::unique_ptr<Decisions> decisions_;
   Sites sites_;
   DueTimes& due_;
   Actions& actions_;
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -28,7 +28,7 @@
 last-of-site     @ src/audit/overseer.cpp   @ s/in_site - out_of_site <= 1/in_site - out_of_site <= 0/ @ yoketurn_fleet_tests @ -ts=audit -tc=guards: who*
 share-of-fleet   @ src/audit/overseer.cpp   @ s/out_of_fleet \+ 1 > limits/out_of_fleet > limits/ @ yoketurn_fleet_tests @ -ts=audit -tc=guards: who*
 across-epochs    @ src/audit/account.cpp    @ s/const auto passed =\s+std::upper_bound\(.*?restarts.begin\(\);/const auto passed = 0;/s @ yoketurn_fleet_tests @ -ts=audit -tc=forks*
-one-turn         @ rig/clients.cpp          @ s/next = router \+ 1;/next_.assign(next_.size(), router + 1);/ @ yoketurn_fleet_tests @ -ts=rig -tc=*take turns*
+one-turn         @ src/days/turns.cpp       @ s/next = router \+ 1;/next_.assign(next_.size(), router + 1);/ @ yoketurn_fleet_tests @ -ts=rig -tc=*take turns*
 TABLE
 }
 run() { (cd "$work" && RC_PARAMS="seed=20 max_success=20" "build/$1" "$2" ${3:+"$3"} >"$4.out" 2>&1); }
