A router that stood still reads what came meanwhile before it goes by the clock

Ruled out: the order of ready sockets, EINTR, the relays of the rig, the grace of drains.

Change: Standstill, asked at every turn and tick: over 0.25 s after the last one nothing is decided before the loop has read for 2 ms and, bounded by 0.25 s, while words of discovery lie unread. The checker excuses what a router had decided in the very turn it was stopped in, up to 0.05 s.

--- a/src/days/checker.hpp
+++ b/src/days/checker.hpp
@@ -75,6 +75,7 @@
   void settle(long long number, const Query& q);
   void settle_parts(long long number, const Query& q);
   bool excused(const Query& q) const;
+  bool ends_its_turn(int router, double told, double at) const;
 
   const Day& day_;
   double slack_, window_ = 0;
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -102,6 +102,11 @@
   open();
 }
 
+bool Watch::unread() const {
+  boost::system::error_code closed;
+  return connection_ && connection_->socket.available(closed) > 0 && !closed;
+}
+
 void Watch::open() {
   connection_ = std::make_shared<Connection>(context_, *this);
   const auto since = version_ ? fmt::format("&since={}", *version_) : "";
--- a/src/discovery/watch.hpp
+++ b/src/discovery/watch.hpp
@@ -35,6 +35,7 @@
   void start(std::optional<long long> known_version);
   void follow(const boost::asio::ip::tcp::endpoint& agent);  // in place of the one before, at once
   void ask_again() { follow(agent_); }                       // the whole list, on a new connection
+  bool unread() const;                                       // whether words lie there that were not read yet
 
  private:
   struct Connection;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -117,6 +117,7 @@
       asked_(asked_of(config)),
       zones_(index(config.zones)),
       unix_at_zero_(unix_at_zero()),
+      still_(kStill),
       standing_({config.name, site_of(config), config.verticals}, config.seed, now(), unix_at_zero_, log,
                 {[this] { watch_.ask_again(); }, [this] { reload(); },
                  [this](const asio::ip::tcp::endpoint& at) {
@@ -448,16 +449,19 @@
 
 void Router::tick() {
   const auto at = now();
-  observe(at);
-  next_tick_ = at + queries_.period();
-  queries_.tick(at);  // the list is always followed: it need not be asked for
-  tell_sites();
-  tell_standing(at);
-  log_.sum_up(at);
-  tell_figures(at);
-  turn();
-  let_go();
-  tick_timer_.expires_after(until(next_tick_));
+  const auto waits = reads_first(at);
+  if (!waits) {
+    observe(at);
+    next_tick_ = at + queries_.period();
+    queries_.tick(at);  // the list is always followed: it need not be asked for
+    tell_sites();
+    tell_standing(at);
+    log_.sum_up(at);
+    tell_figures(at);
+    turn();
+    let_go();
+  }
+  tick_timer_.expires_after(until(waits ? at + Standstill::kRest : next_tick_));
   tick_timer_.async_wait([this](const auto& error) {
     if (!error) tick();
   });
@@ -473,6 +477,7 @@
 void Router::turn() {
   woken_ = false;
   const auto at = now();
+  if (reads_first(at)) return due_after(at + Standstill::kRest);
   for (auto& news : std::exchange(news_, {})) {
     const auto held = held_.find(news.ref.query);
     if (held == held_.end()) continue;
@@ -490,8 +495,15 @@
   arm();
 }
 
+bool Router::reads_first(double at) {
+  return still_.holds(at, [this] { return watch_.unread(); });
+}
+
 void Router::arm() {
-  const auto next = due_.next();
+  due_after(due_.next());
+}
+
+void Router::due_after(double next) {
   if (next == armed_) return;
   armed_ = next;
   if (!std::isfinite(next)) return;
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -20,6 +20,7 @@
 #include "queries/queries.hpp"
 #include "router/config.hpp"
 #include "router/standing.hpp"
+#include "router/standstill.hpp"
 #include "timeline/recorder.hpp"
 #include "timeline/segments.hpp"
 #include "timeline/server.hpp"
@@ -116,7 +117,9 @@
   void answer(long long query, int status, std::string_view body, double retry_after = 0);
   void wake();
   void turn();
+  bool reads_first(double at);
   void arm();
+  void due_after(double next);
   void tick();
   void await_signal();
   void enter(Phase phase);
@@ -136,6 +139,7 @@
   bool woken_ = false;
   double next_tick_ = 0;
   double armed_ = 0;
+  Standstill still_;
   long long last_query_ = -1;
   int open_ = 0;  // queries and parts in hand
   std::unordered_map<long long, Held> held_;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -217,6 +217,13 @@
          for (auto& e : r) e.at += 1;
          r.insert(r.begin(), {0.5, Kind::told, 0, 3, "", -1, -1, 7, 0, "draining"});
        }},
+      {"sent to a drained node after it woke, beyond the turn it was stopped in", 3,
+       [](Record& r) {
+         for (auto& e : r) e.at += 4;
+         r.insert(r.begin(), {{2, Kind::process, 0, -1, "", -1, -1, 0, 0, "stopped"},
+                              {2.5, Kind::told, 0, 3, "", -1, -1, 7, 0, "draining"},
+                              {4.9, Kind::process, 0, -1, "", -1, -1, 0, 0, "resumed"}});
+       }},
       {"a cold node pushed over", 4,
        [](Record& r) {
          r.push_back({1.5, Kind::node, -1, 2, "", -1, -1, 0, 0.4, "fell"});
@@ -242,6 +249,13 @@
   stopped.insert(stopped.begin() + 1, {1.005, Kind::process, 0, -1, "", -1, -1, 0, 0, "stopped"});
   stopped.insert(stopped.begin() + 5, {2.7, Kind::process, 0, -1, "", -1, -1, 0, 0, "resumed"});
   CHECK(check(stopped, day).empty());
+  // And one that was stopped in the middle of a turn, and ended it as it had begun.
+  auto halfway = good_day();
+  for (auto& e : halfway) e.at += 4;
+  halfway.insert(halfway.begin(), {{2, Kind::process, 0, -1, "", -1, -1, 0, 0, "stopped"},
+                                   {2.5, Kind::told, 0, 3, "", -1, -1, 7, 0, "draining"},
+                                   {4.99, Kind::process, 0, -1, "", -1, -1, 0, 0, "resumed"}});
+  CHECK(check(halfway, day).empty());
   // Further calls without end.
   auto record = good_day();
   for (int i = 0; i < 100; ++i) {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <set>
+#include <thread>
 
 #include "town.hpp"
 
@@ -560,6 +561,48 @@
   serve(town, 1);
 }
 
+// Stopped between two steps of its loop, the router went on with the second: by the clock its watch was
+// silent, and it left it with a drain unread in it. For half a second it sent to the drained node.
+TEST_CASE("a router that stood still reads what came meanwhile before it goes by the clock") {
+  Town town;
+  serve(town);
+  auto posted = false;
+  boost::asio::post(town.context, [&] {
+    town.discovery.tell(
+        toy::Discovery::list(2, false, {toy::Discovery::entry("s-0", town.nodes[0]->at(), 0, "draining")}));
+    std::this_thread::sleep_for(std::chrono::milliseconds(3400));
+    town.router->drain();  // its next step: all clients are served on
+    posted = true;
+  });
+  REQUIRE(town.until([&] { return posted && town.logged("version=2"); }));
+  CHECK(!town.logged("watch_lost"));
+  CHECK(town.discovery.asked.size() == 1);
+}
+
+TEST_CASE("a standstill is told by the time between two turns, and is over once all is read") {
+  struct Row {
+    std::vector<std::pair<double, bool>> turns;  // when, and whether something lies there unread
+    std::vector<bool> holds;
+  };
+  const Row rows[] = {
+      {{{10, true}, {10.1, true}, {10.3, true}}, {false, false, false}},  // usual turns
+      {{{10, false}, {13, false}, {13.001, false}, {13.002, false}}, {false, true, true, false}},
+      {{{10, false}, {13, true}, {13.01, true}, {13.02, false}, {13.03, true}},
+       {false, true, true, false, false}},
+      {{{10, false}, {13, true}, {13.2, true}, {13.25, true}},
+       {false, true, true, false}},  // never ends: bounded
+      {{{10, false}, {13, false}, {14, false}, {14.1, false}},
+       {false, true, true, false}},  // stopped once more
+  };
+  for (const auto& row : rows) {
+    Standstill still(0.25);
+    for (std::size_t i = 0; i < row.turns.size(); ++i) {
+      CAPTURE(row.turns[i].first);
+      CHECK(still.holds(row.turns[i].first, [&] { return row.turns[i].second; }) == row.holds[i]);
+    }
+  }
+}
+
 TEST_CASE("twenty-five thousand names of nodes pass, and the last ones are as good as the first") {
   Town town(3, 64);
   for (int version = 2; version <= 7; ++version) {
