--- a/src/days/checker.hpp
+++ b/src/days/checker.hpp
@@ -59,6 +59,13 @@
   struct Away {
     double from, to;
   };
+  // A node since its start: who was told of it, and whose parts it got of late.
+  struct Start {
+    double at = -1;
+    std::map<int, double> told;                // by router: since when
+    std::deque<std::pair<double, bool>> sent;  // and whether its router had been told then
+    std::size_t by_told = 0;
+  };
   struct Calls {
     std::deque<std::pair<double, bool>> recent;  // whether an earlier one was still out
     double further = 0;
@@ -72,6 +79,7 @@
   void sent(const Passing& passing);
   void count(int router, double at, bool beside);
   void process(const Passing& passing);
+  void node(const Passing& passing);
   void settle(long long number, const Query& q);
   void settle_parts(long long number, const Query& q);
   bool excused(const Query& q) const;
@@ -84,6 +92,7 @@
   std::deque<std::pair<double, long long>> due_;  // to be settled, by when they were first seen
   std::map<int, std::vector<Away>> away_;
   std::map<std::pair<int, int>, double> not_ready_;  // by router, node: since when it was told so
+  std::map<int, Start> starts_;
   std::map<int, Calls> calls_;
   std::vector<Breach> found_;
   std::size_t unnamed_ = 0;
--- a/src/days/day.cpp
+++ b/src/days/day.cpp
@@ -211,6 +211,8 @@
         {"service", to(day.service, "service", 1e-4, 10)},
         {"times", to(day.times)},
         {"sigma", to(day.sigma, "sigma", 0, 5)},
+        {"spikes", to(day.spikes, "spikes", 0, 1)},
+        {"spike", to(day.spike, "spike", 0, 1e6)},
         {"queue", to(day.queue, "queue", 1, 10000)},
         {"cold", to(day.cold, "cold", 0, 600)},
         {"start", to(day.start, "start", 0.01, 1)},
--- a/src/days/day.hpp
+++ b/src/days/day.hpp
@@ -54,6 +54,7 @@
   double cores = 1, service = 0.02;  // of a node; the mean of a part's work
   std::string times = "shifted";     // how that is spread, see draw()
   double sigma = 1;                  // of lognormal times
+  double spikes = 0, spike = 1;      // a share of the parts takes so many times as long
   int queue = 40;                    // parts that wait there
   double cold = 6, start = 0.3, fall_multiple = 2, fall_for = 1;
   double grace = 1;        // drains
@@ -79,7 +80,7 @@
 // A part's work, of mean 1, by `times`: shifted (0.4 and an exponential rest), exponential, constant,
 // lognormal.
 template <class Chance>
-double draw(const Day& day, Chance& chance) {
+double draw_plain(const Day& day, Chance& chance) {
   if (day.times == "constant") return 1;
   if (day.times == "lognormal")
     return std::lognormal_distribution<>(-day.sigma * day.sigma / 2, day.sigma)(chance);
@@ -87,6 +88,13 @@
   return day.times == "exponential" ? rest : 0.4 + 0.6 * rest;
 }
 
+template <class Chance>
+double draw(const Day& day, Chance& chance) {
+  const auto work = draw_plain(day, chance);
+  return day.spikes > 0 && std::uniform_real_distribution<>(0, 1)(chance) < day.spikes ? day.spike * work
+                                                                                       : work;
+}
+
 // Those of a party (as in a fault) among the routers or nodes, by number.
 std::vector<int> routers_of(const Day& day, const std::string& party);
 std::vector<int> nodes_of(const Day& day, const std::string& party);
--- a/src/days/service.cpp
+++ b/src/days/service.cpp
@@ -45,6 +45,29 @@
   return share;
 }
 
+double Service::mean_latency(double from, double to) const {
+  double sum = 0, many = 0;
+  for (const auto& fate : fates_)
+    if (fate.status == 200 && fate.began >= from && fate.began < to) {
+      sum += fate.took;
+      ++many;
+    }
+  return many > 0 ? sum / many : 0;
+}
+
+double Service::latency(double quantile, double from, double to, int vertical) const {
+  std::vector<float> times;
+  for (const auto& fate : fates_)
+    if (fate.status == 200 && fate.began >= from && fate.began < to &&
+        (vertical < 0 || fate.vertical == vertical))
+      times.push_back(fate.took);
+  if (times.empty()) return 0;
+  const auto at =
+      times.begin() + static_cast<std::ptrdiff_t>(quantile * static_cast<double>(times.size() - 1));
+  std::nth_element(times.begin(), at, times.end());
+  return *at;
+}
+
 Share share_of(const Record& record, const Day& day, double from, double to, int vertical) {
   Service service(day);
   Numbered numbered;
--- a/src/days/service.hpp
+++ b/src/days/service.hpp
@@ -21,6 +21,9 @@
   explicit Service(const Day& day) : verticals_(day.verticals) {}
   void take(const Passing& passing);
   Share share(double from, double to, int vertical = -1) const;
+  // Of the answers to those asked in the span: by which so great a share of them had come; 0: none has.
+  double mean_latency(double from, double to) const;
+  double latency(double quantile, double from, double to, int vertical = -1) const;
 
  private:
   struct Fate {
--- a/src/emulator/designs.cpp
+++ b/src/emulator/designs.cpp
@@ -19,6 +19,7 @@
 constexpr double kStartDelay = 0.1;  // before any is known
 constexpr double kCopyShare = 0.1;   // of parts that are copied, where the late ones are
 constexpr double kMargin = 0.022;    // before a query's end
+constexpr double kTooLate = 0.2;     // after it, where the design is broken
 constexpr double kAgain = 0.01;      // until a part that failed goes out again
 constexpr double kRounding = 1e-9;
 
@@ -58,10 +59,12 @@
   }
 
   double wait(const Query& q, double now) const override {
-    auto due = q.expires - kMargin;
+    auto due = last(q);
     for (const auto& leaf : q.leaves)
       if (!leaf.in)
-        due = std::min(due, leaf.any_pending() ? std::max(copy_at(leaf), now + kAgain) : now + kAgain);
+        due = std::min(due, leaf.any_pending() && !breaks(Design::Broken::budget)
+                                ? std::max(copy_at(leaf), now + kAgain)
+                                : now + kAgain);
     return std::max(due - now, 1e-3);
   }
 
@@ -77,7 +80,7 @@
     }
     by_cell_.assign(static_cast<std::size_t>(is_.cells), {});
     for (const auto& host : hosts_)
-      if (host.up && host.cell >= 0 && host.cell < is_.cells)
+      if ((host.up || breaks(Design::Broken::drains)) && host.cell >= 0 && host.cell < is_.cells)
         by_cell_[static_cast<std::size_t>(host.cell)].push_back(host.node);
   }
   void forget(int) override {}
@@ -97,8 +100,14 @@
   Belief belief(int, double) const override { return Belief::trusted; }
 
  private:
+  bool breaks(Design::Broken rule) const { return design_.broken == rule; }
   const Vertical& of(const Query& q) const { return is_.verticals[static_cast<std::size_t>(q.vertical)]; }
 
+  // When its answer has to leave.
+  double last(const Query& q) const {
+    return q.expires + (breaks(Design::Broken::late) ? kTooLate : -kMargin);
+  }
+
   double copy_at(const Leaf& leaf) const {
     if (design_.copies != Design::Copies::late || leaf.calls.size() != 1)
       return std::numeric_limits<double>::infinity();
@@ -113,8 +122,8 @@
       if (leaf.in || leaf.any_pending() || may_send(q, leaf, now)) possible += leaf.weight;
     }
     const auto& v = of(q);
-    const auto over = now >= q.expires - kMargin;
-    if (in >= v.whole - kRounding)
+    const auto over = now >= last(q);
+    if (in >= v.whole - kRounding || (over && breaks(Design::Broken::whole)))
       answer.end = End::merge_whole;
     else if ((over || possible <= in + kRounding) && in >= v.least - kRounding)
       answer.end = End::merge_part;
@@ -144,12 +153,15 @@
   void place(const Query& q, int index, Answer& answer, double now) {
     const auto& leaf = q.leaves[static_cast<std::size_t>(index)];
     const auto out = leaf.any_pending();
-    const auto copies = of(q).effect == Effect::repeatable && design_.copies != Design::Copies::none;
+    const auto repeatable = of(q).effect == Effect::repeatable || breaks(Design::Broken::twice);
+    const auto copies = repeatable && design_.copies != Design::Copies::none;
     const auto at_once = design_.copies == Design::Copies::at_once;
     auto copy = false;
     if (out) {
-      copy = copies && !at_once && leaf.calls.size() == 1 && now >= copy_at(leaf) - 1e-6 &&
-             copied_.recent(now) + 1 <= kCopyShare * sent_.recent(now);
+      copy = breaks(Design::Broken::budget)
+                 ? repeatable && static_cast<int>(leaf.calls.size()) < is_.max_calls
+                 : copies && !at_once && leaf.calls.size() == 1 && now >= copy_at(leaf) - 1e-6 &&
+                       copied_.recent(now) + 1 <= kCopyShare * sent_.recent(now);
       if (!copy) return;
     } else if (!may_send(q, leaf, now) || (!leaf.calls.empty() && now < leaf.calls.back().sent + kAgain)) {
       return;
@@ -168,8 +180,7 @@
     if (node == kNone) return;
     ++out_[node];
     (reason == Reason::copy ? copied_ : sent_).add(now);
-    answer.sends.push_back(
-        {index, node, next_group_++, std::max(q.expires - kMargin - now, 0.001), why(reason)});
+    answer.sends.push_back({index, node, next_group_++, std::max(last(q) - now, 0.001), why(reason)});
   }
 
   int choose(const Leaf& leaf, double now, int but) {
@@ -179,7 +190,8 @@
                                  ? std::vector<int>{}
                                  : by_cell_[static_cast<std::size_t>((leaf.shard + i) % is_.cells)]) {
         const auto& host = hosts_[static_cast<std::size_t>(node)];
-        if (node == but || (host.born > 0 && now < host.born + is_.cold_time)) continue;
+        const auto cold = host.born > 0 && now < host.born + is_.cold_time && !breaks(Design::Broken::cold);
+        if (node == but || cold) continue;
         const auto tried =
             std::any_of(leaf.calls.begin(), leaf.calls.end(), [&](const Call& c) { return c.node == node; });
         (tried ? others : holders).push_back(node);
@@ -231,6 +243,12 @@
 }  // namespace
 
 Design design_named(const std::string& name) {
+  using Broken = Design::Broken;
+  static const std::map<std::string, Broken> kBroken{
+      {"broken-late", Broken::late}, {"broken-twice", Broken::twice}, {"broken-drains", Broken::drains},
+      {"broken-cold", Broken::cold}, {"broken-whole", Broken::whole}, {"broken-budget", Broken::budget}};
+  if (const auto broken = kBroken.find(name); broken != kBroken.end())
+    return {Design::Choice::random, Design::Copies::late, true, broken->second};
   static const std::map<std::string, Design::Choice> kChoices{
       {"module", Design::Choice::module},           {"random", Design::Choice::random},
       {"round-robin", Design::Choice::round_robin}, {"fewest-waiting", Design::Choice::fewest_waiting},
@@ -239,9 +257,9 @@
     if (!name.starts_with(known)) continue;
     const auto rest = name.substr(known.size());
     const auto of_module = choice == Design::Choice::module;
-    if (rest.empty()) return {choice, Design::Copies::late, true};
-    if (rest == "-no-copies") return {choice, Design::Copies::none, false};
-    if (rest == "-at-once" && !of_module) return {choice, Design::Copies::at_once, true};
+    if (rest.empty()) return {choice, Design::Copies::late, true, Broken::none};
+    if (rest == "-no-copies") return {choice, Design::Copies::none, false, Broken::none};
+    if (rest == "-at-once" && !of_module) return {choice, Design::Copies::at_once, true, Broken::none};
   }
   throw std::invalid_argument(
       "'" + name +
--- a/src/emulator/designs.hpp
+++ b/src/emulator/designs.hpp
@@ -18,10 +18,14 @@
   Choice choice = Choice::module;
   Copies copies = Copies::late;
   bool module_copies = true;  // the module with or without its copies
+  // Breaks one rule on purpose, so that the checker is seen to find it: late answers, effects twice, drained
+  // nodes, cold nodes, wholes that are not, calls without end.
+  enum class Broken { none, late, twice, drains, cold, whole, budget };
+  Broken broken = Broken::none;
 };
 
 // module, module-no-copies, random, round-robin, fewest-waiting, two-choices, all-seeing; the last five with
-// -no-copies or -at-once behind. Throws std::invalid_argument naming them.
+// -no-copies or -at-once behind; broken-late and so on. Throws std::invalid_argument naming them.
 Design design_named(const std::string& name);
 
 // waiting: the true number of parts at a node, infinite where it is dead or out of reach.
--- a/src/emulator/town.cpp
+++ b/src/emulator/town.cpp
@@ -96,6 +96,7 @@
   world_.believes = [this](Process& process, const SiteNews& news) { believes(process, news); };
   world_.settled = [this](Process&, const Call& call) {
     auto& m = moment();
+    ++played_.settled;
     m.full += call.outcome == Outcome::overloaded;
     m.unreachable += call.outcome == Outcome::unreachable;
     m.timed_out += call.outcome == Outcome::timed_out;
@@ -662,9 +663,7 @@
   played_.breaches = checker_.finish();
   played_.connections = network_->opened();
   played_.events = engine_.done();
-  played_.share = [service = service_, day = day_](double from, double to, int vertical) {
-    return service->share(from, to, vertical);
-  };
+  played_.service = service_;
   return std::move(played_);
 }
 
--- a/src/emulator/town.hpp
+++ b/src/emulator/town.hpp
@@ -48,9 +48,14 @@
   };
   std::vector<Belief> beliefs;
   double most_pushed = 0;
-  long long queries = 0, parts = 0, connections = 0;
+  long long queries = 0, parts = 0, settled = 0,
+            connections = 0;  // settled: parts whose router heard of their end
   std::uint64_t events = 0;
-  std::function<days::Share(double from, double to, int vertical)> share;  // of what clients got
+  std::shared_ptr<const days::Service> service;  // what clients got
+  days::Share share(double from, double to, int vertical) const { return service->share(from, to, vertical); }
+  double latency(double quantile, double from, double to, int vertical) const {
+    return service->latency(quantile, from, to, vertical);
+  }
 };
 
 class Town {
--- a/src/lab/commands.hpp
+++ b/src/lab/commands.hpp
@@ -8,5 +8,8 @@
 
 using Chosen = std::function<int()>;
 void add_run(CLI::App& app, Chosen& chosen);
+void add_sweep(CLI::App& app, Chosen& chosen);
+void add_compare(CLI::App& app, Chosen& chosen);
+void add_search(CLI::App& app, Chosen& chosen);
 
 }  // namespace yoketurn::lab
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -17,6 +17,9 @@
   app.require_subcommand(1);
   Chosen chosen;
   add_run(app, chosen);
+  add_sweep(app, chosen);
+  add_compare(app, chosen);
+  add_search(app, chosen);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -228,6 +228,12 @@
        [](Record& r) {
          r.push_back({1.5, Kind::node, -1, 2, "", -1, -1, 0, 0.4, "fell"});
        }},
+      {"a cold node pushed over by one that was told of its start", 4,
+       [](Record& r) {
+         r.insert(r.begin(), {{0.2, Kind::node, -1, 3, "", -1, -1, 0, 0.3, "started"},
+                              {0.3, Kind::told, 0, 3, "", -1, -1, 7, 0, "ready"}});
+         r.push_back({1.06, Kind::node, -1, 3, "", -1, -1, 0, 0.4, "fell"});
+       }},
       {"a part counted that no node served", 5, [](Record& r) { r.erase(r.begin() + 3); }},
       {"a part counted twice", 5, [](Record& r) { r[4].text = "whole=1 4+4"; }},
       {"whole that is not", 5, [](Record& r) { r[0].text = "4+5"; }},
@@ -256,6 +262,12 @@
                                    {2.5, Kind::told, 0, 3, "", -1, -1, 7, 0, "draining"},
                                    {4.99, Kind::process, 0, -1, "", -1, -1, 0, 0, "resumed"}});
   CHECK(check(halfway, day).empty());
+  // And a push by one that could not know of the start.
+  auto untold = good_day();
+  untold.insert(untold.begin(), {{0.2, Kind::node, -1, 3, "", -1, -1, 0, 0.3, "started"},
+                                 {1.005, Kind::told, 0, 3, "", -1, -1, 7, 0, "ready"}});
+  untold.push_back({1.06, Kind::node, -1, 3, "", -1, -1, 0, 0.4, "fell"});
+  CHECK(check(untold, day).empty());
   // Further calls without end.
   auto record = good_day();
   for (int i = 0; i < 100; ++i) {
