--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -370,7 +370,7 @@
     if (leaf.in) continue;
     const auto copied = leaf.calls.size() == 1 && s.may_copy(q);
     const auto copy = copied ? s.verticals.copy_at(q, leaf) : now;
-    due = std::min(due, copy > now ? copy : now + kPeriod);
+    due = std::min(due, copy > now ? copy : now + std::min(kPeriod, s.of(q).delay));
   }
   return std::max(due - now, 1e-3);
 }
