--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -9,6 +9,7 @@
 using namespace policy;
 namespace {
 constexpr double kPeriod = 0.1;        // of the periodic work
+constexpr double kSoonest = 0.01;      // after which a part that found no place is looked at again
 constexpr double kCopyShare = 0.1;     // copies to parts sent, at most
 constexpr double kCapacityDrift = 60;  // what nodes could do is forgotten with this time constant
 constexpr double kStandstill = 0.25;   // without any call of the module: the router itself stood still
@@ -370,7 +371,7 @@
     if (leaf.in) continue;
     const auto copied = leaf.calls.size() == 1 && s.may_copy(q);
     const auto copy = copied ? s.verticals.copy_at(q, leaf) : now;
-    due = std::min(due, copy > now ? copy : now + std::min(kPeriod, s.of(q).delay));
+    due = std::min(due, copy > now ? copy : now + std::clamp(s.of(q).delay, kSoonest, kPeriod));
   }
   return std::max(due - now, 1e-3);
 }
