--- a/src/policy/nodes.cpp
+++ b/src/policy/nodes.cpp
@@ -168,7 +168,7 @@
   const auto* known = site(node);
   if (known == nullptr || known->share >= 1) return 1;
   if (known->lost) return known->trial && may_try ? 1 / kAway : 0;
-  return std::uniform_real_distribution<>(0, 1 / (1 - parts / 2))(chance) < known->share ? 1 : kAway;
+  return std::uniform_real_distribution<>(0, 1)(chance) < known->share ? 1 : kAway;
 }
 
 // Nodes whose site was lost, and the way there, are unheard of again.
