--- a/src/policy/nodes.cpp
+++ b/src/policy/nodes.cpp
@@ -39,7 +39,7 @@
 void Cold::learn(double answers, double node_seconds, double latency, double kept) {
   if (node_seconds <= 0 || latency <= 0) return;
   quickest = std::min(quickest / kept, latency);
-  const auto busy = std::max(kBusy, 1 - quickest / latency);
+  const auto busy = kBusy;
   node_rate = std::max((answers - std::sqrt(answers)) / node_seconds / busy, node_rate * kept);
 }
 
