--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -403,8 +403,9 @@
     node.others.erase(node.others.begin(), node.others.lower_bound(now - kWindow));
     if (node.up) ++s.nodes.up;
   }
-  s.nodes.cold.learn(s.answered.recent(now), kWindow * s.nodes.up, s.nodes.average,
-                     std::exp(-kPeriod / kCapacityDrift));
+  // Where routers refuse, nodes answer less than they could: cold nodes stood idle beside full ones.
+  const auto rate = s.nodes.up > 0 ? s.answered.recent(now) / kWindow / s.nodes.up : 0;
+  s.nodes.cold.node_rate = std::max(rate, s.nodes.cold.node_rate * std::exp(-kPeriod / kCapacityDrift));
   const auto ask = s.is.must_ask_list && now >= s.ask_after;
   if (ask) s.ask_after = now + kListPatience;
   return ask;
--- a/src/policy/nodes.cpp
+++ b/src/policy/nodes.cpp
@@ -15,7 +15,7 @@
 constexpr double kShunned = 10;    // on the score of a suspect node that has a part already
 constexpr double kAway = 1e3;      // on the score of a node whose site gets a share only; a trial the less
 constexpr double kJoinCost = 0.5;  // of a call: a part that joins one that stands open
-constexpr double kBusy = 0.5;      // the least of what a warm node could do that it is taken to do
+constexpr double kBusy = 0.5;      // of what a warm node could do, taken to be what it does at the busiest
 constexpr double kMostCredit = 4;  // parts that a cold node can be sent in a row where they are spaced out
 constexpr double kChance = 1;      // standard deviations of what a cold node is sent that stay under the rule
 }  // namespace
@@ -23,7 +23,7 @@
 Cold::Cold(const Settings& s)
     : time(s.cold_time),
       start(s.start_capacity),
-      rate(s.fall_multiple),
+      rate(s.fall_multiple / kBusy),
       fall_time(s.fall_time),
       routers(std::max(s.routers, 1)) {}
 
@@ -32,17 +32,6 @@
   return is(node, now) ? start + (1 - start) * std::max(0.0, now - node.born) / time : 1;
 }
 
-// From what the nodes answered in a window, and by how much longer that takes than at the quietest: of a
-// queue the quiet latency to the present one is the share of time it is idle (M/M/1). Where routers refuse,
-// nodes answer less than they could: the most of late counts, so `kept` of it is kept. Of few answers the
-// most is high by chance.
-void Cold::learn(double answers, double node_seconds, double latency, double kept) {
-  if (node_seconds <= 0 || latency <= 0) return;
-  quickest = std::min(quickest / kept, latency);
-  const auto busy = kBusy;
-  node_rate = std::max((answers - std::sqrt(answers)) / node_seconds / busy, node_rate * kept);
-}
-
 // What a node answers this router on average stands for this router's share of a node's capacity. Each router
 // sends by itself, so the sum of all is a matter of chance: of few parts less of the figure can be used.
 double Cold::most(const Node& node, double now) const {
@@ -56,8 +45,7 @@
 bool Cold::allows(Node& node, double now, std::ranlux24_base& chance) const {
   const auto parts = most(node, now);
   if (parts >= 1) return node.sent.recent(now) + 1 <= parts;
-  if (node.credited < node.born)
-    node.credit = std::uniform_real_distribution<>(0, 1 / (1 - parts / 2))(chance);
+  if (node.credited < node.born) node.credit = std::uniform_real_distribution<>(0, kMostCredit - 1)(chance);
   if (node.credited >= node.born) node.credit += (now - node.credited) * parts / fall_time;
   node.credit = std::min(node.credit, kMostCredit);
   node.credited = now;
--- a/src/policy/nodes.hpp
+++ b/src/policy/nodes.hpp
@@ -54,13 +54,11 @@
 struct Cold {
   double time, start, rate, fall_time;
   int routers;
-  double node_rate = 0;      // parts a second that a warm node can do for this router
-  double quickest = kNever;  // the average latency of a part at the quietest of late
+  double node_rate = 0;  // parts a second that a node answers this router, on average
 
   explicit Cold(const Settings& s);
   bool is(const Node& node, double now) const { return node.born > 0 && now < node.born + time; }
   double capacity(const Node& node, double now) const;
-  void learn(double answers, double node_seconds, double latency, double kept);
   double most(const Node& node, double now) const;  // parts that it may be sent in fall_time
   bool allows(Node& node, double now, std::ranlux24_base& chance) const;
 };
