--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -371,8 +371,7 @@
   if (now < s.verticals.slo_end(q)) due = std::min(due, s.verticals.slo_end(q));
   for (const auto& leaf : q.leaves) {
     if (leaf.in) continue;
-    const auto copied = leaf.calls.size() == 1 && s.may_copy(q);
-    const auto copy = copied ? s.verticals.copy_at(q, leaf) : now;
+    const auto copy = leaf.calls.size() == 1 && s.may_copy(q) ? s.verticals.copy_at(q, leaf) : now;
     due = std::min(due, copy > now ? copy : now + std::clamp(s.of(q).delay, kSoonest, kPeriod));
   }
   return std::max(due - now, 1e-3);
