--- a/src/lab/table.cpp
+++ b/src/lab/table.cpp
@@ -79,9 +79,9 @@
 
 std::string map(const std::vector<const Row*>& rows, std::size_t x, std::size_t y, std::size_t by,
                 const Scale& across, const Scale& up) {
-  std::string text = "unset key\nset palette defined (0 '#b2182b', 0.5 '#f7f7f7', 1 '#2166ac')\nset ytics (" +
-                     up.ticks() +
-                     ")\nplot '-' using 1:2:3 with image pixels, '-' using 1:2:(sprintf('%.3f', $3)) with labels\n";
+  std::string text =
+      "unset key\nset palette defined (0 '#b2182b', 0.5 '#f7f7f7', 1 '#2166ac')\nset ytics (" + up.ticks() +
+      ")\nplot '-' using 1:2:3 with image pixels, '-' using 1:2:(sprintf('%.3f', $3)) with labels\n";
   for (int again = 0; again < 2; ++again) {
     for (const auto* row : rows)
       text += fmt::format("{} {} {}\n", across.at((*row)[x]), up.at((*row)[by]), (*row)[y]);
