--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test sanitize lint format run example example-timeline example-sites example-audit rig mutants query clean
+.PHONY: build test sanitize lint format run example example-timeline example-sites example-audit example-lab rig mutants query clean
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release >/dev/null && cmake --build build -j4
@@ -39,6 +39,10 @@
 example-audit: rig
 	examples/audit.sh
 
+# Which designs recover from a slow fleet: the lab, its table and curves.
+example-lab: rig
+	examples/lab.sh
+
 # Faults planted in the decisions on sites and orders, each caught by its test. Takes some minutes.
 mutants:
 	tests/mutants.sh
