--- a/src/lab/search.cpp
+++ b/src/lab/search.cpp
@@ -61,7 +61,8 @@
   f.what = what;
   f.from = std::floor(uniform(kFirst, std::max(kFirst, day.seconds - kLast)) * 10) / 10;
   f.length = std::floor(uniform(0.5, 6) * 10) / 10;
-  const auto of_routers = what == "kill" || what == "term" || what == "pause" || what == "blind";
+  const auto of_routers =
+      what == "kill" || what == "term" || what == "pause" || what == "blind" || what == "hush";
   const auto whole = chance() % 3 == 0;
   f.of = whole ? (of_routers                           ? "routers:"
                   : what == "lose" || what == "silent" ? "site:"
