--- a/examples/standin.hpp
+++ b/examples/standin.hpp
@@ -18,6 +18,7 @@
 
 #include "buffers/ring.hpp"
 #include "datanodes/frames.hpp"
+#include "queries/clock.hpp"
 
 namespace yoketurn::toy {
 
@@ -249,12 +250,20 @@
                        fmt::join(entries, ","));
   }
 
+  // The head of an answer to a watch, and a list as a chunk of it.
+  static constexpr std::string_view kHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  static std::string chunk(const std::string& line) {
+    return fmt::format("{:x}\r\n{}\n\r\n", line.size() + 1, line);
+  }
   void tell(const std::string& line) {
     for (const auto& watcher : watchers_)
       if (const auto held = watcher.lock()) held->say(chunk(line));
   }
 
+  // What a watch is answered with; true: it has been dealt with, and gets nothing else.
+  std::function<bool(Session&)> on_watch = [](Session&) { return false; };
   bool silent = false;             // sends no heartbeat
+  double last_beat = 0;            // when the last one went out, on the steady clock
   std::string whole;               // the list each watch begins with
   std::vector<std::string> asked;  // the first lines of the requests
 
@@ -266,16 +275,17 @@
     if (end == std::string::npos) return;
     session.in.consume(end + 4);
     asked.push_back(head.substr(0, head.find("\r\n")));
+    if (on_watch(session)) return;
     watchers_.push_back(session.weak_from_this());
-    session.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(whole));
+    session.say(std::string(kHead) + chunk(whole));
   }
 
  private:
-  static std::string chunk(const std::string& line) {
-    return fmt::format("{:x}\r\n{}\n\r\n", line.size() + 1, line);
-  }
   void beat() {
-    if (!silent) tell("");
+    if (!silent) {
+      tell("");
+      last_beat = now();
+    }
     heartbeat_.expires_after(std::chrono::seconds(2));
     heartbeat_.async_wait([this](const auto& error) {
       if (!error) beat();
--- a/src/clients/listener.cpp
+++ b/src/clients/listener.cpp
@@ -36,32 +36,49 @@
   acceptor_.set_option(asio::socket_base::reuse_address(true));
   acceptor_.bind(at);
   acceptor_.listen();
-  accept();
+  acceptor_.non_blocking(true);
+  acceptor_.set_option(
+      asio::socket_base::enable_connection_aborted(true));  // else accept waits for the next one
+  await_client();
 }
 
-// At the bound, what is accepted waits in the kernel until a connection is done with: none that is taken is
-// dropped with a request in it.
+void Listener::await_client() {
+  if (awaiting_ || !acceptor_.is_open()) return;
+  awaiting_ = true;
+  acceptor_.async_wait(asio::ip::tcp::acceptor::wait_read, [this](const auto& error) {
+    if (error == asio::error::operation_aborted) return;
+    awaiting_ = false;
+    accept();
+  });
+}
+
+// Takes a client that waits in the kernel. At the bound it waits there until a connection ends or can make
+// room: none that is taken is dropped with a request in it. Room is made long before the bound, as clients
+// can hold so many connections and no more: those that ask once and keep theirs would take them all, and
+// nobody else could connect.
 void Listener::accept() {
-  if (accepting_ || !acceptor_.is_open()) return;
-  // Clients can hold so many and no more: those that ask once and keep their connection would take all of
-  // them long before the bound is reached here, and nobody else could connect.
+  if (!acceptor_.is_open()) return;
   if (connections_.size() >= room_from_) make_room();
-  if (accepting_) return;  // the room made has been used already
   at_bound_ = connections_.size() >= most_connections_;
   if (at_bound_) return;
-  accepting_ = true;
-  acceptor_.async_accept([this](const auto& error, asio::ip::tcp::socket socket) {
-    if (error == asio::error::operation_aborted) return;
-    accepting_ = false;
-    if (error) {
-      asker_.door(What::door_failed, 0, 0, 0, static_cast<double>(connections_.size()), 0);
-      log_.line("accept_failed", "why=\"{}\" connections={}", error.message(), connections_.size());
-      due_.set(due_key_, now() + kAgain, [this](double) { accept(); });
-      return;
-    }
+  asio::ip::tcp::socket socket(context_);
+  boost::system::error_code error;
+  acceptor_.accept(socket, error);
+  if (!error) {
     admit(std::move(socket));
-    accept();
-  });
+    return await_client();
+  }
+  // Nobody is there any more, or one went before it could be taken.
+  for (const auto gone : {asio::error::would_block, asio::error::try_again, asio::error::interrupted,
+                          asio::error::connection_aborted})
+    if (error == gone) return await_client();
+  asker_.door(What::door_failed, 0, 0, 0, static_cast<double>(connections_.size()), 0);
+  log_.line("accept_failed", "why=\"{}\" connections={}", error.message(), connections_.size());
+  accept_at(now() + kAgain);
+}
+
+void Listener::accept_at(double at) {
+  due_.set(due_key_, at, [this](double) { accept(); });
 }
 
 void Listener::admit(asio::ip::tcp::socket socket) {
@@ -126,7 +143,6 @@
 void Listener::stop() {
   if (!acceptor_.is_open()) return;
   boost::system::error_code error;
-  acceptor_.non_blocking(true, error);
   while (!error && connections_.size() < most_connections_) {
     asio::ip::tcp::socket socket(context_);
     acceptor_.accept(socket, error);
@@ -146,7 +162,7 @@
 
 void Listener::seen(ClientConnection& connection, What what, double a, double b) {
   // A connection that has its answer can make room for one that waits to be accepted.
-  if (what == What::answered && at_bound_) due_.set(due_key_, now(), [this](double) { accept(); });
+  if (what == What::answered && at_bound_) accept_at(now());
   asker_.door(what, 0, connection.id(), connection.address(), a, b);
 }
 
@@ -154,7 +170,7 @@
   asker_.door(What::shut, static_cast<std::uint8_t>(connection.shut()), connection.id(), connection.address(),
               now() - connection.opened(), connection.answers());
   connections_.erase(connection.id());
-  accept();
+  if (at_bound_) accept_at(now());
 }
 
 }  // namespace yoketurn
--- a/src/clients/listener.hpp
+++ b/src/clients/listener.hpp
@@ -46,7 +46,9 @@
   void seen(ClientConnection& connection, What what, double a, double b) override;
   bool keeps() const override { return !winding_down_; }
 
+  void await_client();
   void accept();
+  void accept_at(double at);
   void admit(boost::asio::ip::tcp::socket socket);
   void make_room();
 
@@ -58,7 +60,7 @@
   std::size_t room_from_;
   Log& log_;
   Asker& asker_;
-  bool accepting_ = false;
+  bool awaiting_ = false;
   bool at_bound_ = false;  // nothing is accepted until a connection ends or can make room
   bool winding_down_ = false;
   int last_id_ = 0;
--- a/src/queries/due.hpp
+++ b/src/queries/due.hpp
@@ -20,7 +20,10 @@
     drop(key);
     times_.emplace(key, at);
     order_.emplace(std::pair{at, key}, std::move(work));
+    if (on_earlier_ && order_.begin()->first.second == key) on_earlier_();
   }
+  // Called whenever a time is set that comes before all others: whoever waits for them must wait less long.
+  void on_earlier(std::function<void()> called) { on_earlier_ = std::move(called); }
   void drop(Key key) {
     const auto at = times_.find(key);
     if (at == times_.end()) return;
@@ -45,6 +48,7 @@
   Key last_key_ = 0;
   std::unordered_map<Key, double> times_;
   std::map<std::pair<double, Key>, Work> order_;
+  std::function<void()> on_earlier_;
 };
 
 }  // namespace yoketurn
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -22,13 +22,13 @@
 constexpr double kFigures = 10;  // between two lines of figures
 constexpr std::size_t kRoomShare =
     4;  // of the descriptors: from so many clients on idle ones make room, as these hold a third
-constexpr std::size_t kOtherSockets = 16;    // streams, event queue, timers, signals, listener, discovery
-constexpr std::size_t kNodeShare = 2;        // one in so many descriptors may go to data nodes
-constexpr std::size_t kMostNodes = 20'000;   // known by name
-constexpr double kAskAgain = 2;              // between two questions for the whole list because of its count
-constexpr double kVersionsAgain = 30;        // after which a time line is told all versions again
-constexpr double kLate = 0.05;               // by which a round of the loop is late enough to be told
-constexpr double kStill = 0.25;              // and by which the router stood still
+constexpr std::size_t kOtherSockets = 16;   // streams, event queue, timers, signals, listener, discovery
+constexpr std::size_t kNodeShare = 2;       // one in so many descriptors may go to data nodes
+constexpr std::size_t kMostNodes = 20'000;  // known by name
+constexpr double kAskAgain = 2;             // between two questions for the whole list because of its count
+constexpr double kVersionsAgain = 30;       // after which a time line is told all versions again
+constexpr double kLate = 0.05;              // by which a round of the loop is late enough to be told
+constexpr double kStill = 0.25;             // and by which the router stood still
 // Without any turn of the loop for so long, a little more than its period, what came meanwhile is read first.
 constexpr double kReadsFirstAfter = 0.14;
 constexpr std::size_t kTimelineSockets = 2;  // its listener, a file; and its readers
@@ -158,6 +158,10 @@
   watch_.start(config_.known.version);
   next_tick_ = now();
   figures_at_ = next_tick_ + kFigures;
+  // What is read may set a time that comes before the next turn: a lost watch would be opened a tick later.
+  due_.on_earlier([this] {
+    if (!in_turn_) arm();
+  });
   tick();
 }
 
@@ -480,6 +484,13 @@
   woken_ = false;
   const auto at = now();
   if (reads_first(at)) return due_after(at + Standstill::kRest);
+  in_turn_ = true;
+  take_turn(at);
+  in_turn_ = false;
+  arm();
+}
+
+void Router::take_turn(double at) {
   for (auto& news : std::exchange(news_, {})) {
     const auto held = held_.find(news.ref.query);
     if (held == held_.end()) continue;
@@ -494,7 +505,6 @@
   }
   pool_.flush();
   wind_up(at);
-  arm();
 }
 
 bool Router::reads_first(double at) {
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -117,6 +117,7 @@
   void answer(long long query, int status, std::string_view body, double retry_after = 0);
   void wake();
   void turn();
+  void take_turn(double at);
   bool reads_first(double at);
   void arm();
   void due_after(double next);
@@ -137,6 +138,7 @@
   Phase phase_ = Phase::starting;
   double told_to_stop_ = 0;
   bool woken_ = false;
+  bool in_turn_ = false;
   double next_tick_ = 0;
   double armed_ = 0;
   Standstill still_;
