The age of a node is kept on the monotonic clock, and bounded by when its start was learned

A start told as wall-clock time became an age by the offset taken once at this process's begin (unix_at_zero_): with a clock that is stepped by an hour, here or there, before or after, a fresh node looked warm and was sent its full share.

--- a/src/discovery/list.cpp
+++ b/src/discovery/list.cpp
@@ -27,7 +27,7 @@
   member.at = *at;
   member.zone = text_field(*object, "zone");
   member.cell = number_field<int>(*object, "cell", 0, static_cast<int>(kLargestIndex));
-  member.started = number_field<double>(*object, "started_ms", 0, std::numeric_limits<double>::max()) / 1e3;
+  member.started = {number_field<double>(*object, "started_ms", 0, std::numeric_limits<double>::max()) / 1e3};
   return member;
 }
 
--- a/src/discovery/list.hpp
+++ b/src/discovery/list.hpp
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <vector>
 
+#include "time/wall_time.hpp"
+
 namespace yoketurn {
 
 struct Member {
@@ -17,7 +19,7 @@
   int cell = 0;
   bool up = false;
   bool gone = false;
-  double started = 0;  // Unix time in seconds; 0: long ago
+  WallTime started;  // 0: long ago
 };
 
 struct MemberList {
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -178,17 +178,23 @@
   try {
     if (!value.is_object()) throw Malformed("the list is no JSON object");
     const auto list = read_list(value.get_object());
-    heard();
-    if (!list.full && version_ && list.version <= *version_) return listener_.passed_over(list);  // known
-    if (!list.full && nonsense_) return;  // changes to a list that has a gap
-    nonsense_ = false;
-    version_ = list.version;
-    listener_.listed(list);
+    await_word(kSilence);
+    const auto* const from = connection_.get();
+    take(list);
+    if (connection_.get() == from) heard();  // it was not left for another
   } catch (const Malformed& error) {
     unusable(error.what());
   }
 }
 
+void Watch::take(const MemberList& list) {
+  if (!list.full && version_ && list.version <= *version_) return listener_.passed_over(list);  // known
+  if (!list.full && nonsense_) return;  // changes to a list that has a gap
+  nonsense_ = false;
+  version_ = list.version;
+  listener_.listed(list);
+}
+
 void Watch::unusable(std::string_view why) {
   log_.line("list_unusable", "why=\"{}\"", why);
   nonsense_ = true;
--- a/src/discovery/watch.hpp
+++ b/src/discovery/watch.hpp
@@ -48,6 +48,7 @@
   void await_word(double patience);
   void heard();
   void take_list(const boost::json::value& value);
+  void take(const MemberList& list);
   void unusable(std::string_view why);
   void drop();
   void lost(std::string_view why);
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -120,6 +120,7 @@
       zones_(index(config.zones)),
       unix_at_zero_(unix_at_zero()),
       still_(kReadsFirstAfter),
+      node_ages_(config.settings.cold_time),
       standing_({config.name, site_of(config), config.verticals}, config.seed, now(), unix_at_zero_, log,
                 {[this] { watch_.ask_again(); }, [this] { reload(); },
                  [this](const asio::ip::tcp::endpoint& at) {
@@ -307,10 +308,9 @@
   for (const auto& member : list_now_.members) {
     const auto node = nodes_.find(member.id);
     if (node == nodes_.end() || member.gone) continue;
-    const auto born = member.started > 0 ? member.started - unix_at_zero_ : 0;
     recorder_->listed(node->second, member.id,
                       fmt::format("{}:{}", member.at.address().to_string(), member.at.port()), member.up,
-                      born, list_now_.version, at);
+                      born(member), list_now_.version, at);
   }
 }
 
@@ -747,8 +747,8 @@
       log_.line("node_unknown", "id={} known={}", member.id, nodes_.size());
       continue;
     }
-    const auto born = member.started > 0 ? member.started - unix_at_zero_ : 0;
-    hosts.push_back({node, look_up(zones_, member.zone), member.cell, member.up, born});
+    const auto started = born(member);
+    hosts.push_back({node, look_up(zones_, member.zone), member.cell, member.up, started});
     present.insert(node);
     standing_.member(node, member);
     if (recorder_) {
@@ -757,13 +757,13 @@
       else
         recorder_->listed(node, member.id,
                           fmt::format("{}:{}", member.at.address().to_string(), member.at.port()), member.up,
-                          born, list.version, now());
+                          started, list.version, now());
     }
     if (member.gone) {
       pool_.leave(node);
       leaving_.emplace(member.id, node);
     } else {
-      pool_.locate(node, member.at, born, member.up);
+      pool_.locate(node, member.at, started, member.up);
       leaving_.erase(member.id);
     }
     if (member.up) ++ready;
@@ -781,6 +781,10 @@
   wake();
 }
 
+double Router::born(const Member& member) {
+  return node_ages_.born(member.id, member.started, now(), WallTime::now());
+}
+
 int Router::number_of(const std::string& node) {
   if (const auto at = nodes_.find(node); at != nodes_.end()) return at->second;
   if (nodes_.size() >= kMostNodes) return kNone;
@@ -802,6 +806,7 @@
     queries_.forget_node(gone.second);
     if (recorder_) recorder_->forgotten(gone.second, now());
     spare_.push_back(gone.second);
+    node_ages_.left(gone.first);
     nodes_.erase(gone.first);
     return true;
   });
@@ -813,6 +818,7 @@
 }
 
 void Router::watch_heard() {
+  node_ages_.heard(now());
   standing_.versions().heard(now());
 }
 
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -15,6 +15,7 @@
 
 #include "clients/listener.hpp"
 #include "datanodes/pool.hpp"
+#include "discovery/node_ages.hpp"
 #include "discovery/watch.hpp"
 #include "logging/log.hpp"
 #include "queries/queries.hpp"
@@ -96,6 +97,7 @@
   void asked(int connection, const ClientConnection::Request& request) override;
   void left(int connection) override;
   void listed(const MemberList& list) override;
+  double born(const Member& member);
   void watch_lost() override;
   void watch_heard() override;
   void passed_over(const MemberList& list) override;
@@ -149,6 +151,7 @@
   std::unordered_set<std::string> open_ids_;  // of the queries whose answer is owed
   std::deque<News> news_;
   std::vector<long long> merged_first_;
+  NodeAges node_ages_;
   std::unordered_map<std::string, int> nodes_;
   std::unordered_map<std::string, int> leaving_;  // those of them that are gone
   std::vector<int> spare_;                        // numbers that nodes have had
--- a/src/router/standing.cpp
+++ b/src/router/standing.cpp
@@ -34,9 +34,9 @@
     entry.assign(m.id);
     entry += '\0';
     entry += m.zone;
-    char figures[sizeof m.cell + sizeof m.started + 1];
+    char figures[sizeof m.cell + sizeof m.started.unix_seconds + 1];
     std::memcpy(figures, &m.cell, sizeof m.cell);
-    std::memcpy(figures + sizeof m.cell, &m.started, sizeof m.started);
+    std::memcpy(figures + sizeof m.cell, &m.started.unix_seconds, sizeof m.started.unix_seconds);
     figures[sizeof figures - 1] = static_cast<char>(m.gone ? 2 : m.up ? 1 : 0);
     entry.append(figures, sizeof figures);
     sum += XXH3_64bits(entry.data(), entry.size());
--- a/tests/versions_test.cpp
+++ b/tests/versions_test.cpp
@@ -180,7 +180,7 @@
   CHECK(altered([](Member& m) { m.id = "s-3"; }) != hash);
   CHECK(altered([](Member& m) { m.zone = "z"; }) != hash);
   CHECK(altered([](Member& m) { m.cell = 3; }) != hash);
-  CHECK(altered([](Member& m) { m.started = 6; }) != hash);
+  CHECK(altered([](Member& m) { m.started = {6}; }) != hash);
 }
 
 TEST_CASE("told versions are read as they were told") {
