Clients are accepted all at once, and only the connections chosen to make room are asked for unread bytes

So the cause is the system call for unread bytes at each of 160 connections for every client accepted (Listener::make_room), not how long connections linger.

--- a/src/clients/connection.cpp
+++ b/src/clients/connection.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t kLargestHeader = 8 * 1024;
 constexpr std::size_t kLargestDrain = 256 * 1024;  // read after the last answer, so that the client sees it
 constexpr double kLinger = 1;                      // for which that is done
+// For which a resting connection is read that was ended: what crosses its end comes within a round trip. Of
+// clients that ask once and stay many are ended, and none of them closes its side.
+constexpr double kRestLinger = 0.1;
 constexpr double kDepartureCheck = 0.04;  // between two looks whether a client has gone that can't be read
 constexpr double kUnread = 10;            // without a byte of its answer taken, after which a client is gone
 constexpr double kReadsFirst = 0.02;      // until a late connection with unread bytes is looked at again
@@ -85,7 +88,7 @@
     return true;
   }
   shut_ = why;
-  linger();
+  linger(kRestLinger);
   return true;
 }
 
@@ -242,17 +245,17 @@
     return read();
   }
   if (shut_ == Shut::by_client) shut_ = Shut::answered;
-  linger();
+  linger(shut_ == Shut::room ? kRestLinger : kLinger);
 }
 
 // A connection closed with something unread in it is reset, and the answer may be lost with it. So it ends
 // for writing first, and what still comes is thrown away until the client ends it too.
-void ClientConnection::linger() {
+void ClientConnection::linger(double time) {
   state_ = State::lingering;
   in_.consume(in_.size());
   boost::system::error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  close_at(now() + kLinger);
+  close_at(now() + time);
   read();
 }
 
--- a/src/clients/connection.hpp
+++ b/src/clients/connection.hpp
@@ -60,7 +60,7 @@
   void late();
   void watch_departure();
   bool departed() const;
-  void linger();
+  void linger(double time);
   void fail(int status, std::string_view why);
   void write();
   void written();
--- a/src/clients/listener.cpp
+++ b/src/clients/listener.cpp
@@ -1,6 +1,8 @@
 #include "clients/listener.hpp"
 
 #include <algorithm>
+#include <array>
+#include <span>
 
 #include "queries/clock.hpp"
 
@@ -10,9 +12,11 @@
 
 namespace {
 
-constexpr double kAgain = 0.01;  // until accepting is tried again after an error
-constexpr double kKept = 2;      // the protocol's: after it a connection without a request may be closed
-constexpr double kMute = 0.25;   // in which a client that has a request sends some of it
+constexpr std::size_t kMostPassedBy = 7;  // connections with a request unread, before one is closed over it
+constexpr int kMostAtOnce = 64;           // clients accepted before other work goes on
+constexpr double kAgain = 0.01;           // until accepting is tried again after an error
+constexpr double kKept = 2;     // the protocol's: after it a connection without a request may be closed
+constexpr double kMute = 0.25;  // in which a client that has a request sends some of it
 
 }  // namespace
 
@@ -52,29 +56,28 @@
   });
 }
 
-// Takes a client that waits in the kernel. At the bound it waits there until a connection ends or can make
+// Takes the clients that wait in the kernel. At the bound they wait there until a connection ends or can make
 // room: none that is taken is dropped with a request in it. Room is made long before the bound, as clients
 // can hold so many connections and no more: those that ask once and keep theirs would take them all, and
 // nobody else could connect.
 void Listener::accept() {
-  if (!acceptor_.is_open()) return;
-  if (connections_.size() >= room_from_) make_room();
-  at_bound_ = connections_.size() >= most_connections_;
-  if (at_bound_) return;
-  asio::ip::tcp::socket socket(context_);
-  boost::system::error_code error;
-  acceptor_.accept(socket, error);
-  if (!error) {
+  for (int taken = 0; acceptor_.is_open() && taken < kMostAtOnce; ++taken) {
+    if (connections_.size() >= room_from_) make_room();
+    at_bound_ = connections_.size() >= most_connections_;
+    if (at_bound_) return;
+    asio::ip::tcp::socket socket(context_);
+    boost::system::error_code error;
+    acceptor_.accept(socket, error);
+    if (error == asio::error::interrupted || error == asio::error::connection_aborted) continue;
+    if (error == asio::error::would_block || error == asio::error::try_again) return await_client();
+    if (error) {
+      asker_.door(What::door_failed, 0, 0, 0, static_cast<double>(connections_.size()), 0);
+      log_.line("accept_failed", "why=\"{}\" connections={}", error.message(), connections_.size());
+      return accept_at(now() + kAgain);
+    }
     admit(std::move(socket));
-    return await_client();
   }
-  // Nobody is there any more, or one went before it could be taken.
-  for (const auto gone : {asio::error::would_block, asio::error::try_again, asio::error::interrupted,
-                          asio::error::connection_aborted})
-    if (error == gone) return await_client();
-  asker_.door(What::door_failed, 0, 0, 0, static_cast<double>(connections_.size()), 0);
-  log_.line("accept_failed", "why=\"{}\" connections={}", error.message(), connections_.size());
-  accept_at(now() + kAgain);
+  await_client();
 }
 
 void Listener::accept_at(double at) {
@@ -93,26 +96,37 @@
 
 // Connections that wait for a request make room, those first that are least likely to bring one: the ones
 // that the protocol lets go, then those that have said nothing yet while others do, then any other. Without
-// that order a crowd that only connects would push the usual clients out.
+// that order a crowd that only connects would push the usual clients out. One with a request unread in its
+// socket is passed by for the next best; only the chosen ones are asked, as that takes a system call each.
 void Listener::make_room() {
   const auto at = now();
-  const auto rank = [&](const ClientConnection& c) {
+  const auto rank = [at](const ClientConnection& c) {
     const auto age = at - c.since();
     const auto kind = c.idle() && c.served() ? (age >= kKept ? 0 : 2) : age >= kMute ? 1 : 3;
     return std::pair(kind, c.since());
   };
-  std::shared_ptr<ClientConnection> first;
-  for (const auto& [id, connection] : connections_)
-    if ((connection->idle() || connection->half_read()) && !connection->unread() &&
-        (!first || rank(*connection) < rank(*first)))
-      first = connection;
-  if (!first) return;
+  using Ranked = std::pair<std::pair<int, double>, std::shared_ptr<ClientConnection>>;
+  std::array<Ranked, kMostPassedBy + 1> best;  // in order; those behind the last one are empty
+  std::size_t found = 0;
+  for (const auto& [id, connection] : connections_) {
+    if (!connection->idle() && !connection->half_read()) continue;
+    const auto ranked = rank(*connection);
+    auto place = found;
+    while (place > 0 && ranked < best[place - 1].first) --place;
+    if (place == best.size()) continue;
+    std::move_backward(best.begin() + static_cast<std::ptrdiff_t>(place), best.end() - 1, best.end());
+    best[place] = {ranked, connection};
+    found = std::min(found + 1, best.size());
+  }
+  if (found == 0) return;
   log_.line("client_room", "connections={}", connections_.size());
-  if (first->idle()) {
-    first->close_idle(Shut::room);
-  } else {
-    first->refuse_half(Shut::room, 503, "no room");
+  for (const auto& [ranked, connection] : std::span(best).first(found)) {
+    if (connection->unread()) continue;
+    if (connection->half_read()) return connection->refuse_half(Shut::room, 503, "no room");
+    connection->close_idle(Shut::room);
+    return;
   }
+  best[found - 1].second->close(Shut::room);
 }
 
 void Listener::answer(int connection, int status, std::string_view body, double retry_after) {
--- a/src/datanodes/connection.cpp
+++ b/src/datanodes/connection.cpp
@@ -17,6 +17,7 @@
 
 constexpr double kLoadPatience = 2;       // until a node that sent no load report is asked again
 constexpr double kRetryAfterLack = 0.01;  // until a write that failed for want of local memory is repeated
+constexpr std::size_t kMostReads = 16;    // of one connection before other work goes on
 constexpr std::size_t kMostLastReads = 1024;  // of what lies in a socket that can't be written any more
 
 // Errors of connecting that tell of a lack on this machine: no descriptor, port, memory or permission.
@@ -241,7 +242,9 @@
   socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const auto& error) {
     if (self->state_ != State::open) return;
     if (error) return self->close(Closing::broken, error.message());
-    self->read_some();
+    for (std::size_t reads = 0; reads < kMostReads && self->state_ == State::open && self->read_some();
+         ++reads) {
+    }
     if (self->state_ == State::open) self->await_readable();
   });
 }
