--- a/src/clients/listener.cpp
+++ b/src/clients/listener.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <span>
+#include <utility>
 
 #include "queries/clock.hpp"
 
@@ -62,19 +63,23 @@
 // nobody else could connect.
 void Listener::accept() {
   for (int taken = 0; acceptor_.is_open() && taken < kMostAtOnce; ++taken) {
-    if (connections_.size() >= room_from_) make_room();
-    at_bound_ = connections_.size() >= most_connections_;
-    if (at_bound_) return;
+    if (connections_.size() >= most_connections_) {
+      if (taken > 0) break;  // whether another waits is not known
+      make_room();
+      at_bound_ = connections_.size() >= most_connections_;
+      if (at_bound_) return;
+    }
     asio::ip::tcp::socket socket(context_);
     boost::system::error_code error;
     acceptor_.accept(socket, error);
     if (error == asio::error::interrupted || error == asio::error::connection_aborted) continue;
-    if (error == asio::error::would_block || error == asio::error::try_again) return await_client();
+    if (error == asio::error::would_block || error == asio::error::try_again) break;
     if (error) {
       asker_.door(What::door_failed, 0, 0, 0, static_cast<double>(connections_.size()), 0);
       log_.line("accept_failed", "why=\"{}\" connections={}", error.message(), connections_.size());
       return accept_at(now() + kAgain);
     }
+    if (connections_.size() >= room_from_) make_room();
     admit(std::move(socket));
   }
   await_client();
@@ -176,7 +181,7 @@
 
 void Listener::seen(ClientConnection& connection, What what, double a, double b) {
   // A connection that has its answer can make room for one that waits to be accepted.
-  if (what == What::answered && at_bound_) accept_at(now());
+  if (what == What::answered && std::exchange(at_bound_, false)) accept_at(now());
   asker_.door(what, 0, connection.id(), connection.address(), a, b);
 }
 
@@ -184,7 +189,7 @@
   asker_.door(What::shut, static_cast<std::uint8_t>(connection.shut()), connection.id(), connection.address(),
               now() - connection.opened(), connection.answers());
   connections_.erase(connection.id());
-  if (at_bound_) accept_at(now());
+  if (std::exchange(at_bound_, false)) accept_at(now());
 }
 
 }  // namespace yoketurn
