--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -1,7 +1,7 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <algorithm>
 #include <set>
 
+#include "main.hpp"
 #include "support.hpp"
 
 using namespace yoketurn;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -2,15 +2,13 @@
 // on every run: the six rules, what each router believed, the pace of returns, with wide margins for times.
 #include "rig/fleet.hpp"
 
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include <doctest/doctest.h>
-
 #include <cstdlib>
 #include <random>
 #include <sstream>
 
 #include "days/checker.hpp"
 #include "days/plot.hpp"
+#include "tests/main.hpp"
 #include "tests/played.hpp"
 
 using namespace yoketurn::rig;
