--- a/src/clients/connection.cpp
+++ b/src/clients/connection.cpp
@@ -2,6 +2,8 @@
 
 #include <poll.h>
 
+#include <boost/asio/post.hpp>
+
 #include "queries/clock.hpp"
 
 namespace yoketurn {
@@ -32,6 +34,14 @@
          (codings == 0 || boost::beast::iequals(request[http::field::transfer_encoding], "chunked"));
 }
 
+// Errors after which the same call is made again once the socket is ready: none, or a lack on this machine.
+bool goes_on(const boost::system::error_code& error) {
+  for (const auto passing : {asio::error::would_block, asio::error::try_again, asio::error::interrupted,
+                             asio::error::no_buffer_space, asio::error::no_memory})
+    if (error == passing) return true;
+  return false;
+}
+
 }  // namespace
 
 ClientConnection::ClientConnection(asio::ip::tcp::socket socket, DueTimes& due, Owner& owner, int id)
@@ -113,28 +123,31 @@
   return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLERR | POLLHUP)) != 0;
 }
 
-// A connection between two requests has no buffer: many clients ask once and keep theirs for good.
+// A connection between two requests has no buffer: many clients ask once and keep theirs for good. What is
+// there is waited for and then read, so that a read that brings less than there is leaves nothing unnoticed.
 void ClientConnection::read() {
   if (reading_ || state_ == State::closed) return;
   if (in_.free() == 0) return state_ == State::asked ? watch_departure() : void();
   reading_ = true;
-  const auto done = [self = shared_from_this()](const auto& error, std::size_t count) {
+  in_.release();
+  socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const auto& error) {
     self->reading_ = false;
     if (self->state_ == State::closed) return;
     if (error) return self->lost();
-    self->in_.commit(count);
-    self->take();
+    self->read_some();
     self->read();
-  };
-  if (in_.size() > 0) return socket_.async_read_some(in_.space(), done);
-  in_.release();
-  socket_.async_wait(asio::ip::tcp::socket::wait_read, [this, done](const auto& error) {
-    boost::system::error_code failed = error;
-    const auto count = failed || state_ == State::closed ? 0 : socket_.read_some(in_.space(), failed);
-    done(failed == asio::error::would_block ? boost::system::error_code{} : failed, count);
   });
 }
 
+void ClientConnection::read_some() {
+  boost::system::error_code error;
+  const auto count = socket_.read_some(in_.space(), error);
+  if (goes_on(error)) return;
+  if (error) return lost();
+  in_.commit(count);
+  take();
+}
+
 void ClientConnection::take() {
   if (state_ == State::lingering) {
     drained_ += in_.size();
@@ -215,17 +228,29 @@
   write();
 }
 
+// What follows the last byte comes later, never from within: the next request may stand behind this one, and
+// whoever gives an answer must not be asked something meanwhile.
 void ClientConnection::write() {
   if (writing_) return;
+  boost::system::error_code error;
+  while (out_.size() > 0 && !error) out_.consume(socket_.write_some(out_.data(), error));
+  if (goes_on(error)) return await_writable();
+  if (!error && state_ != State::answering) return;
+  writing_ = true;
+  asio::post(socket_.get_executor(), [self = shared_from_this(), failed = bool(error)] {
+    self->writing_ = false;
+    if (self->state_ == State::closed) return;
+    failed ? self->lost() : self->written();
+  });
+}
+
+void ClientConnection::await_writable() {
   writing_ = true;
-  socket_.async_write_some(out_.data(), [self = shared_from_this()](const auto& error, auto count) {
+  close_at(now() + kUnread);
+  socket_.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this()](const auto& error) {
     self->writing_ = false;
     if (self->state_ == State::closed) return;
     if (error) return self->lost();
-    self->out_.consume(count);
-    if (self->out_.size() == 0 && self->state_ == State::answering) return self->written();
-    if (self->out_.size() == 0) return;
-    self->close_at(now() + kUnread);
     self->write();
   });
 }
--- a/src/clients/connection.hpp
+++ b/src/clients/connection.hpp
@@ -54,6 +54,7 @@
   enum class State { reading, asked, answering, lingering, closed };
 
   void read();
+  void read_some();
   void take();
   void take_request();
   void close_at(double at);
@@ -63,6 +64,7 @@
   void linger(double time);
   void fail(int status, std::string_view why);
   void write();
+  void await_writable();
   void written();
   void lost();
 
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -51,6 +51,8 @@
   void open(const asio::ip::tcp::endpoint& at) {
     socket.async_connect(at, [self = shared_from_this()](const auto& error) {
       if (error) return self->fail(error.message());
+      boost::system::error_code ignored;
+      self->socket.non_blocking(true, ignored);
       self->ask();
     });
   }
@@ -61,13 +63,22 @@
     });
   }
   void read() {
-    socket.async_read_some(ring.space(), [self = shared_from_this()](const auto& error, auto count) {
+    socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const auto& error) {
       if (self->watch == nullptr) return;
       if (error) return self->fail(error.message());
-      self->ring.commit(count);
-      self->take();
+      self->read_some();
     });
   }
+  void read_some() {
+    boost::system::error_code error;
+    const auto count = socket.read_some(ring.space(), error);
+    for (const auto passing : {asio::error::would_block, asio::error::try_again, asio::error::interrupted,
+                               asio::error::no_buffer_space, asio::error::no_memory})
+      if (error == passing) return read();
+    if (error) return fail(error.message());
+    ring.commit(count);
+    take();
+  }
   void take() {
     while (ring.size() > 0 && !parser.is_done()) {
       boost::system::error_code error;
