--- a/src/clients/listener.cpp
+++ b/src/clients/listener.cpp
@@ -1,6 +1,9 @@
 #include "clients/listener.hpp"
 
 #include <algorithm>
+#include <array>
+#include <span>
+#include <utility>
 
 #include "queries/clock.hpp"
 
@@ -10,9 +13,11 @@
 
 namespace {
 
-constexpr double kAgain = 0.01;  // until accepting is tried again after an error
-constexpr double kKept = 2;      // the protocol's: after it a connection without a request may be closed
-constexpr double kMute = 0.25;   // in which a client that has a request sends some of it
+constexpr std::size_t kMostPassedBy = 7;  // connections with a request unread, before one is closed over it
+constexpr int kMostAtOnce = 64;           // clients accepted before other work goes on
+constexpr double kAgain = 0.01;           // until accepting is tried again after an error
+constexpr double kKept = 2;     // the protocol's: after it a connection without a request may be closed
+constexpr double kMute = 0.25;  // in which a client that has a request sends some of it
 
 }  // namespace
 
@@ -36,56 +41,97 @@
   acceptor_.set_option(asio::socket_base::reuse_address(true));
   acceptor_.bind(at);
   acceptor_.listen();
-  accept();
+  acceptor_.non_blocking(true);
+  acceptor_.set_option(
+      asio::socket_base::enable_connection_aborted(true));  // else accept waits for the next one
+  await_client();
 }
 
-// At the bound, what is accepted waits in the kernel until a connection is done with: none that is taken is
-// dropped with a request in it.
-void Listener::accept() {
-  if (accepting_ || !acceptor_.is_open()) return;
-  // Clients can hold so many and no more: those that ask once and keep their connection would take all of
-  // them long before the bound is reached here, and nobody else could connect.
-  if (connections_.size() >= room_from_ && !make_room() && connections_.size() >= most_connections_) return;
-  if (accepting_) return;  // the room made has been used already
-  accepting_ = true;
-  acceptor_.async_accept([this](const auto& error, asio::ip::tcp::socket socket) {
+void Listener::await_client() {
+  if (awaiting_ || !acceptor_.is_open()) return;
+  awaiting_ = true;
+  acceptor_.async_wait(asio::ip::tcp::acceptor::wait_read, [this](const auto& error) {
     if (error == asio::error::operation_aborted) return;
-    accepting_ = false;
+    awaiting_ = false;
+    accept();
+  });
+}
+
+// Takes the clients that wait in the kernel. At the bound they wait there until a connection ends or can make
+// room: none that is taken is dropped with a request in it. Room is made long before the bound, as clients
+// can hold so many connections and no more: those that ask once and keep theirs would take them all, and
+// nobody else could connect.
+void Listener::accept() {
+  for (int taken = 0; acceptor_.is_open() && taken < kMostAtOnce; ++taken) {
+    if (connections_.size() >= most_connections_) {
+      if (taken > 0) break;  // whether another waits is not known
+      make_room();
+      at_bound_ = connections_.size() >= most_connections_;
+      if (at_bound_) return;
+    }
+    asio::ip::tcp::socket socket(context_);
+    boost::system::error_code error;
+    acceptor_.accept(socket, error);
+    if (error == asio::error::interrupted || error == asio::error::connection_aborted) continue;
+    if (error == asio::error::would_block || error == asio::error::try_again) break;
     if (error) {
       asker_.door(What::door_failed, 0, 0, 0, static_cast<double>(connections_.size()), 0);
       log_.line("accept_failed", "why=\"{}\" connections={}", error.message(), connections_.size());
-      due_.set(due_key_, now() + kAgain, [this](double) { accept(); });
-      return;
+      return accept_at(now() + kAgain);
     }
-    const auto id = ++last_id_;
-    const auto connection =
-        std::make_shared<ClientConnection>(std::move(socket), due_, static_cast<Owner&>(*this), id);
-    connections_[id] = connection;
-    connection->start();
-    seen(*connection, What::accepted, static_cast<double>(connections_.size()),
-         static_cast<double>(most_connections_));
-    accept();
-  });
+    if (connections_.size() >= room_from_) make_room();
+    admit(std::move(socket));
+  }
+  await_client();
+}
+
+void Listener::accept_at(double at) {
+  due_.set(due_key_, at, [this](double) { accept(); });
+}
+
+void Listener::admit(asio::ip::tcp::socket socket) {
+  const auto id = ++last_id_;
+  const auto connection =
+      std::make_shared<ClientConnection>(std::move(socket), due_, static_cast<Owner&>(*this), id);
+  connections_[id] = connection;
+  connection->start();
+  seen(*connection, What::accepted, static_cast<double>(connections_.size()),
+       static_cast<double>(most_connections_));
 }
 
 // Connections that wait for a request make room, those first that are least likely to bring one: the ones
 // that the protocol lets go, then those that have said nothing yet while others do, then any other. Without
-// that order a crowd that only connects would push the usual clients out.
-bool Listener::make_room() {
+// that order a crowd that only connects would push the usual clients out. One with a request unread in its
+// socket is passed by for the next best; only the chosen ones are asked, as that takes a system call each.
+void Listener::make_room() {
   const auto at = now();
-  const auto rank = [&](const ClientConnection& c) {
+  const auto rank = [at](const ClientConnection& c) {
     const auto age = at - c.since();
     const auto kind = c.idle() && c.served() ? (age >= kKept ? 0 : 2) : age >= kMute ? 1 : 3;
     return std::pair(kind, c.since());
   };
-  std::shared_ptr<ClientConnection> first;
-  for (const auto& [id, connection] : connections_)
-    if ((connection->idle() || connection->half_read()) && (!first || rank(*connection) < rank(*first)))
-      first = connection;
-  if (!first) return false;
+  using Ranked = std::pair<std::pair<int, double>, std::shared_ptr<ClientConnection>>;
+  std::array<Ranked, kMostPassedBy + 1> best;  // in order; those behind the last one are empty
+  std::size_t found = 0;
+  for (const auto& [id, connection] : connections_) {
+    if (!connection->idle() && !connection->half_read()) continue;
+    const auto ranked = rank(*connection);
+    auto place = found;
+    while (place > 0 && ranked < best[place - 1].first) --place;
+    if (place == best.size()) continue;
+    std::move_backward(best.begin() + static_cast<std::ptrdiff_t>(place), best.end() - 1, best.end());
+    best[place] = {ranked, connection};
+    found = std::min(found + 1, best.size());
+  }
+  if (found == 0) return;
   log_.line("client_room", "connections={}", connections_.size());
-  first->close(Shut::room);
-  return true;
+  for (const auto& [ranked, connection] : std::span(best).first(found)) {
+    if (connection->unread()) continue;
+    if (connection->half_read()) return connection->refuse_half(Shut::room, 503, "no room");
+    connection->close_idle(Shut::room);
+    return;
+  }
+  best[found - 1].second->close(Shut::room);
 }
 
 void Listener::answer(int connection, int status, std::string_view body, double retry_after) {
@@ -101,17 +147,27 @@
 
 void Listener::close_idle() {
   for (const auto& [id, connection] : std::unordered_map(connections_))
-    if (connection->idle()) connection->close(Shut::stopped);
+    if (connection->idle()) connection->close_idle(Shut::stopped);
 }
 
 bool Listener::owes() const {
-  return std::any_of(connections_.begin(), connections_.end(),
-                     [](const auto& held) { return !held.second->idle() && !held.second->half_read(); });
+  return std::any_of(connections_.begin(), connections_.end(), [](const auto& held) {
+    const auto& connection = *held.second;
+    return (!connection.idle() && !connection.half_read()) || connection.unread();
+  });
 }
 
+// The kernel has taken the connections that wait to be accepted: a close would reset them with their
+// requests.
 void Listener::stop() {
-  boost::system::error_code ignored;
-  acceptor_.close(ignored);
+  if (!acceptor_.is_open()) return;
+  boost::system::error_code error;
+  while (!error && connections_.size() < most_connections_) {
+    asio::ip::tcp::socket socket(context_);
+    acceptor_.accept(socket, error);
+    if (!error) admit(std::move(socket));
+  }
+  acceptor_.close(error);
   due_.drop(due_key_);
 }
 
@@ -124,6 +180,8 @@
 }
 
 void Listener::seen(ClientConnection& connection, What what, double a, double b) {
+  // A connection that has its answer can make room for one that waits to be accepted.
+  if (what == What::answered && std::exchange(at_bound_, false)) accept_at(now());
   asker_.door(what, 0, connection.id(), connection.address(), a, b);
 }
 
@@ -131,7 +189,7 @@
   asker_.door(What::shut, static_cast<std::uint8_t>(connection.shut()), connection.id(), connection.address(),
               now() - connection.opened(), connection.answers());
   connections_.erase(connection.id());
-  accept();
+  if (std::exchange(at_bound_, false)) accept_at(now());
 }
 
 }  // namespace yoketurn
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -22,13 +22,15 @@
 constexpr double kFigures = 10;  // between two lines of figures
 constexpr std::size_t kRoomShare =
     4;  // of the descriptors: from so many clients on idle ones make room, as these hold a third
-constexpr std::size_t kOtherSockets = 16;    // streams, event queue, timers, signals, listener, discovery
-constexpr std::size_t kNodeShare = 2;        // one in so many descriptors may go to data nodes
-constexpr std::size_t kMostNodes = 20'000;   // known by name
-constexpr double kAskAgain = 2;              // between two questions for the whole list because of its count
-constexpr double kVersionsAgain = 30;        // after which a time line is told all versions again
-constexpr double kLate = 0.05;               // by which a round of the loop is late enough to be told
-constexpr double kStill = 0.25;              // and by which the router stood still
+constexpr std::size_t kOtherSockets = 16;   // streams, event queue, timers, signals, listener, discovery
+constexpr std::size_t kNodeShare = 2;       // one in so many descriptors may go to data nodes
+constexpr std::size_t kMostNodes = 20'000;  // known by name
+constexpr double kAskAgain = 2;             // between two questions for the whole list because of its count
+constexpr double kVersionsAgain = 30;       // after which a time line is told all versions again
+constexpr double kLate = 0.05;              // by which a round of the loop is late enough to be told
+constexpr double kStill = 0.25;             // and by which the router stood still
+// Without any turn of the loop for so long, a little more than its period, what came meanwhile is read first.
+constexpr double kReadsFirstAfter = 0.14;
 constexpr std::size_t kTimelineSockets = 2;  // its listener, a file; and its readers
 
 std::size_t other_sockets(const Config& config) {
@@ -117,7 +119,8 @@
       asked_(asked_of(config)),
       zones_(index(config.zones)),
       unix_at_zero_(unix_at_zero()),
-      still_(kStill),
+      still_(kReadsFirstAfter),
+      node_ages_(config.settings.cold_time),
       standing_({config.name, site_of(config), config.verticals}, config.seed, now(), unix_at_zero_, log,
                 {[this] { watch_.ask_again(); }, [this] { reload(); },
                  [this](const asio::ip::tcp::endpoint& at) {
@@ -156,6 +159,10 @@
   watch_.start(config_.known.version);
   next_tick_ = now();
   figures_at_ = next_tick_ + kFigures;
+  // What is read may set a time that comes before the next turn: a lost watch would be opened a tick later.
+  due_.on_earlier([this] {
+    if (!in_turn_) arm();
+  });
   tick();
 }
 
@@ -301,10 +308,9 @@
   for (const auto& member : list_now_.members) {
     const auto node = nodes_.find(member.id);
     if (node == nodes_.end() || member.gone) continue;
-    const auto born = member.started > 0 ? member.started - unix_at_zero_ : 0;
     recorder_->listed(node->second, member.id,
                       fmt::format("{}:{}", member.at.address().to_string(), member.at.port()), member.up,
-                      born, list_now_.version, at);
+                      born(member), list_now_.version, at);
   }
 }
 
@@ -478,6 +484,13 @@
   woken_ = false;
   const auto at = now();
   if (reads_first(at)) return due_after(at + Standstill::kRest);
+  in_turn_ = true;
+  take_turn(at);
+  in_turn_ = false;
+  arm();
+}
+
+void Router::take_turn(double at) {
   for (auto& news : std::exchange(news_, {})) {
     const auto held = held_.find(news.ref.query);
     if (held == held_.end()) continue;
@@ -492,7 +505,6 @@
   }
   pool_.flush();
   wind_up(at);
-  arm();
 }
 
 bool Router::reads_first(double at) {
@@ -621,11 +633,11 @@
   standing_.versions().sent(held.vertical, act_of(send.why.reason), send.node, now());
   const auto leaf = static_cast<std::size_t>(send.leaf);
   const auto& part = held.parts[leaf];
-  auto list = fmt::format("d={}", std::max(std::llround(send.timeout * 1e3), 1LL));
-  if (!held.key.empty()) list += ",k=" + held.key;
-  if (send.leaf >= held.second_from) list += held.first_step;
+  std::string options;
+  if (!held.key.empty()) options += ",k=" + held.key;
+  if (send.leaf >= held.second_from) options += held.first_step;
   pool_.send(send.node, send.group,
-             {{query, send.leaf, call}, part.id, part.shard, std::move(list), held.text}, send.timeout,
+             {{query, send.leaf, call}, part.id, part.shard, std::move(options), held.text}, send.timeout,
              send.by);
 }
 
@@ -735,8 +747,8 @@
       log_.line("node_unknown", "id={} known={}", member.id, nodes_.size());
       continue;
     }
-    const auto born = member.started > 0 ? member.started - unix_at_zero_ : 0;
-    hosts.push_back({node, look_up(zones_, member.zone), member.cell, member.up, born});
+    const auto started = born(member);
+    hosts.push_back({node, look_up(zones_, member.zone), member.cell, member.up, started});
     present.insert(node);
     standing_.member(node, member);
     if (recorder_) {
@@ -745,13 +757,13 @@
       else
         recorder_->listed(node, member.id,
                           fmt::format("{}:{}", member.at.address().to_string(), member.at.port()), member.up,
-                          born, list.version, now());
+                          started, list.version, now());
     }
     if (member.gone) {
       pool_.leave(node);
       leaving_.emplace(member.id, node);
     } else {
-      pool_.locate(node, member.at, born, member.up);
+      pool_.locate(node, member.at, started, member.up);
       leaving_.erase(member.id);
     }
     if (member.up) ++ready;
@@ -769,6 +781,10 @@
   wake();
 }
 
+double Router::born(const Member& member) {
+  return node_ages_.born(member.id, member.started, now(), WallTime::now());
+}
+
 int Router::number_of(const std::string& node) {
   if (const auto at = nodes_.find(node); at != nodes_.end()) return at->second;
   if (nodes_.size() >= kMostNodes) return kNone;
@@ -790,6 +806,7 @@
     queries_.forget_node(gone.second);
     if (recorder_) recorder_->forgotten(gone.second, now());
     spare_.push_back(gone.second);
+    node_ages_.left(gone.first);
     nodes_.erase(gone.first);
     return true;
   });
@@ -801,6 +818,7 @@
 }
 
 void Router::watch_heard() {
+  node_ages_.heard(now());
   standing_.versions().heard(now());
 }
 
