--- /dev/null
+++ b/src/buffers/socket_errors.hpp
@@ -0,0 +1,41 @@
+// What the errors of system calls on sockets mean to those who read, write and connect them.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/error.hpp>
+#include <boost/system/error_code.hpp>
+
+namespace yoketurn {
+
+// A lack of memory for buffers on this machine, which passes.
+inline bool is_lack_of_memory(const boost::system::error_code& error) {
+  return error == boost::asio::error::no_buffer_space || error == boost::asio::error::no_memory;
+}
+
+// The socket is not ready; the call is made again once it is.
+inline bool is_not_ready(const boost::system::error_code& error) {
+  return error == boost::asio::error::would_block || error == boost::asio::error::try_again;
+}
+
+// The call is made again, at once or once the socket is ready: nothing has happened to the connection.
+inline bool is_transient(const boost::system::error_code& error) {
+  return is_not_ready(error) || is_lack_of_memory(error) || error == boost::asio::error::interrupted;
+}
+
+// A connection could not be opened for want of a descriptor, port, memory or permission on this machine: that
+// tells nothing of the peer.
+inline bool is_local_lack(const boost::system::error_code& error) {
+  namespace errc = boost::system::errc;
+  static constexpr std::array kLacks{errc::too_many_files_open,
+                                     errc::too_many_files_open_in_system,
+                                     errc::address_not_available,
+                                     errc::permission_denied,
+                                     errc::resource_unavailable_try_again,
+                                     errc::operation_not_permitted,
+                                     errc::not_enough_memory,
+                                     errc::no_buffer_space};
+  return std::any_of(kLacks.begin(), kLacks.end(), [&](const auto lack) { return error == lack; });
+}
+
+}  // namespace yoketurn
--- a/src/clients/connection.cpp
+++ b/src/clients/connection.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "buffers/socket_errors.hpp"
 #include "queries/clock.hpp"
 
 namespace yoketurn {
@@ -34,14 +35,6 @@
          (codings == 0 || boost::beast::iequals(request[http::field::transfer_encoding], "chunked"));
 }
 
-// Errors after which the same call is made again once the socket is ready: none, or a lack on this machine.
-bool goes_on(const boost::system::error_code& error) {
-  for (const auto passing : {asio::error::would_block, asio::error::try_again, asio::error::interrupted,
-                             asio::error::no_buffer_space, asio::error::no_memory})
-    if (error == passing) return true;
-  return false;
-}
-
 }  // namespace
 
 ClientConnection::ClientConnection(asio::ip::tcp::socket socket, DueTimes& due, Owner& owner, int id)
@@ -142,7 +135,7 @@
 void ClientConnection::read_some() {
   boost::system::error_code error;
   const auto count = socket_.read_some(in_.space(), error);
-  if (goes_on(error)) return;
+  if (is_transient(error)) return;
   if (error) return lost();
   in_.commit(count);
   take();
@@ -234,7 +227,7 @@
   if (writing_) return;
   boost::system::error_code error;
   while (out_.size() > 0 && !error) out_.consume(socket_.write_some(out_.data(), error));
-  if (goes_on(error)) return await_writable();
+  if (is_transient(error)) return await_writable();
   if (!error && state_ != State::answering) return;
   writing_ = true;
   asio::post(socket_.get_executor(), [self = shared_from_this(), failed = bool(error)] {
--- a/src/datanodes/connection.cpp
+++ b/src/datanodes/connection.cpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <iterator>
 
+#include "buffers/socket_errors.hpp"
 #include "queries/clock.hpp"
 
 namespace yoketurn {
@@ -20,17 +21,6 @@
 constexpr std::size_t kMostReads = 16;    // of one connection before other work goes on
 constexpr std::size_t kMostLastReads = 1024;  // of what lies in a socket that can't be written any more
 
-// Errors of connecting that tell of a lack on this machine: no descriptor, port, memory or permission.
-bool is_local(const boost::system::error_code& error) {
-  namespace errc = boost::system::errc;
-  for (const auto lack :
-       {errc::too_many_files_open, errc::too_many_files_open_in_system, errc::no_buffer_space,
-        errc::not_enough_memory, errc::address_not_available, errc::resource_unavailable_try_again,
-        errc::operation_not_permitted, errc::permission_denied})
-    if (error == lack) return true;
-  return false;
-}
-
 }  // namespace
 
 NodeConnection::NodeConnection(asio::io_context& context, DueTimes& due, const Limits& limits, Owner& owner,
@@ -56,7 +46,7 @@
   if (state_ != State::connecting) return;
   if (error)
     return close(Closing::refused, error.message(), Outcome::broken,
-                 is_local(error) ? Outcome::unsent : Outcome::unreachable);
+                 is_local_lack(error) ? Outcome::unsent : Outcome::unreachable);
   boost::system::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
@@ -174,9 +164,9 @@
     written = socket_.write_some(asio::buffer(bytes), error);
   } while (error == asio::error::interrupted);
   if (!error) return true;
-  if (error == asio::error::would_block || error == asio::error::try_again) {
+  if (is_not_ready(error)) {
     await_writable();
-  } else if (error == asio::error::no_buffer_space || error == asio::error::no_memory) {
+  } else if (is_lack_of_memory(error)) {
     // This machine's lack, not the node's: the call waits, as it does for a full socket.
     due_.set(retry_key_, now() + kRetryAfterLack, [weak = weak_from_this()](double) {
       if (const auto self = weak.lock()) self->write();
@@ -253,8 +243,7 @@
   boost::system::error_code error;
   const auto count = socket_.read_some(in_.space(), error);
   if (error == asio::error::interrupted) return true;
-  if (error == asio::error::would_block || error == asio::error::try_again) return false;
-  if (error == asio::error::no_buffer_space || error == asio::error::no_memory) return false;
+  if (is_not_ready(error) || is_lack_of_memory(error)) return false;
   if (error) {
     close(Closing::broken, error.message());
     return false;
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -9,6 +9,7 @@
 #include <cctype>
 #include <utility>
 
+#include "buffers/socket_errors.hpp"
 #include "queries/clock.hpp"
 #include "settings/settings.hpp"
 
@@ -72,9 +73,7 @@
   void read_some() {
     boost::system::error_code error;
     const auto count = socket.read_some(ring.space(), error);
-    for (const auto passing : {asio::error::would_block, asio::error::try_again, asio::error::interrupted,
-                               asio::error::no_buffer_space, asio::error::no_memory})
-      if (error == passing) return read();
+    if (is_transient(error)) return read();
     if (error) return fail(error.message());
     ring.commit(count);
     take();
