--- a/src/clients/connection.cpp
+++ b/src/clients/connection.cpp
@@ -135,7 +135,7 @@
 void ClientConnection::read_some() {
   boost::system::error_code error;
   const auto count = socket_.read_some(in_.space(), error);
-  if (is_transient(error)) return;
+  if (is_transient(error)) return in_.release();
   if (error) return lost();
   in_.commit(count);
   take();
--- a/src/datanodes/connection.cpp
+++ b/src/datanodes/connection.cpp
@@ -243,7 +243,10 @@
   boost::system::error_code error;
   const auto count = socket_.read_some(in_.space(), error);
   if (error == asio::error::interrupted) return true;
-  if (is_not_ready(error) || is_lack_of_memory(error)) return false;
+  if (is_not_ready(error) || is_lack_of_memory(error)) {
+    in_.release();  // a connection that rests has no buffer
+    return false;
+  }
   if (error) {
     close(Closing::broken, error.message());
     return false;
