Retries at one node are 50 ms apart at least; lists of members apply in linear time; the lab's options stand once

- Brain::choose let a part go again to the only node after a hedge delay, a few ms where answers are quick: all attempts went within them.
- Tests: a second SIGTERM and a SIGHUP behind it, two configurations in one turn, unsent calls and the budget.

--- a/src/days/day.hpp
+++ b/src/days/day.hpp
@@ -2,6 +2,7 @@
 // Times are seconds, rates a second.
 #pragma once
 
+#include <cmath>
 #include <random>
 #include <stdexcept>
 #include <string>
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -52,6 +52,18 @@
   return out.str();
 }
 
+// Figures of another module or emulator are none of this one's.
+std::uint64_t program() {
+  static const auto hash = [] {
+    std::ifstream file("/proc/self/exe", std::ios::binary);
+    std::stringstream content;
+    content << file.rdbuf();
+    const auto bytes = content.str();
+    return XXH3_64bits(bytes.data(), bytes.size());
+  }();
+  return hash;
+}
+
 }  // namespace
 
 double kept_digits(double value) {
@@ -90,7 +102,7 @@
 }
 
 std::string Experiment::key() const {
-  std::string all = text + '\n' + fmt::format("{} {}\n", from, to);
+  std::string all = fmt::format("{:016x}\n", program()) + text + '\n' + fmt::format("{} {}\n", from, to);
   for (const auto& one : settings) all += one.path + '=' + one.value + '\n';
   return fmt::format("{:016x}", XXH3_64bits(all.data(), all.size()));
 }
--- a/src/lab/experiment.hpp
+++ b/src/lab/experiment.hpp
@@ -2,7 +2,6 @@
 // same experiment, the same figures, whatever else runs beside it.
 #pragma once
 
-#include <map>
 #include <string>
 #include <vector>
 
@@ -25,7 +24,7 @@
 
   std::string design() const;
   days::Day day() const;    // throws days::BadDay
-  std::string key() const;  // a hash of all of it
+  std::string key() const;  // a hash of all of it and of the program that plays it
   Experiment with(const std::vector<Setting>& more) const;
   std::string file() const;  // the day's file with what is set in it
 };
--- a/src/lab/search.cpp
+++ b/src/lab/search.cpp
@@ -20,14 +20,13 @@
 using days::Fault;
 
 constexpr double kKeeps = 0.8;           // of the loss that a shrunk day must still show
-constexpr double kBroken = 1000;         // a broken rule counts as more than any loss
 constexpr double kFirst = 3, kLast = 8;  // seconds at the day's begin and end without a new fault
 
-struct Wanted {
-  std::string path, folder = "lab-search", keep, against = "all-seeing";
-  std::vector<std::string> set, kinds{"lose",  "silent", "deaf", "dumb",  "delay", "lose_answers", "slow",
-                                      "drain", "kill",   "term", "pause", "blind", "surge",        "reset"};
-  int draws = 200, faults = 3, best = 3, threads = 0;
+struct Wanted : Plan {
+  std::string folder = "lab-search", against = "all-seeing";
+  std::vector<std::string> kinds{"lose",  "silent", "deaf", "dumb",  "delay", "lose_answers", "slow",
+                                 "drain", "kill",   "term", "pause", "blind", "surge",        "reset"};
+  int draws = 200, faults = 3, best = 3;
   unsigned seed = 1;
 };
 
@@ -133,8 +132,7 @@
 }
 
 int search(const Wanted& wanted) {
-  auto base = load_experiment(wanted.path);
-  for (const auto& one : wanted.set) base = base.with({read_setting(one)});
+  auto base = wanted.base();
   const auto day = base.day();
   base.text = without_faults(base.text);
   auto chance = emulator::chance_of(wanted.seed, emulator::Stream::search, 0);
@@ -186,12 +184,12 @@
 }  // namespace
 
 void add_search(CLI::App& app, Chosen& chosen) {
-  auto* command = app.add_subcommand(
-      "search",
-      "Hunt the days of random faults on which the module does worst, or breaks a rule, and shrink them.");
+  auto* command = app.add_subcommand("search",
+                                     "Hunt the days of random faults, in place of the file's, on which the "
+                                     "module does worst, or breaks a rule, "
+                                     "and shrink them.");
   const auto wanted = std::make_shared<Wanted>();
-  command->add_option("day", wanted->path, "The day's file; its own faults are left out")->required();
-  command->add_option("--set", wanted->set, "PATH=VALUE, in place of the file's");
+  wanted->add_options(*command);
   command->add_option("--draws", wanted->draws, "Days drawn")->check(CLI::Range(1, 100000));
   command->add_option("--faults", wanted->faults, "Faults of a day, at most")->check(CLI::Range(1, 20));
   command->add_option("--kinds", wanted->kinds, "Kinds of faults that are drawn")->delimiter(',');
@@ -199,9 +197,6 @@
   command->add_option("--against", wanted->against, "The design whose utility the module's is held against");
   command->add_option("--draw-seed", wanted->seed, "Of the faults");
   command->add_option("--folder", wanted->folder, "Where they are written");
-  command->add_option("--keep", wanted->keep,
-                      "JSON lines of all plays; what stands there is not played again");
-  command->add_option("--threads", wanted->threads, "0: one a core");
   command->footer("Example: yoketurn-lab search rig/days/site-quiet.info --draws 100");
   command->callback([&chosen, wanted] { chosen = [wanted] { return search(*wanted); }; });
 }
--- a/src/lab/statistics.cpp
+++ b/src/lab/statistics.cpp
@@ -3,7 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cmath>
+#include <cstdio>
 #include <random>
 #include <sstream>
 #include <stdexcept>
--- a/src/lab/sweep.cpp
+++ b/src/lab/sweep.cpp
@@ -12,18 +12,17 @@
 
 namespace {
 
-struct Wanted {
-  std::string path, keep, csv;
-  std::vector<std::string> vary, set, show{"utility", "in_time", "worst", "refused", "failed"};
-  int seeds = 5, threads = 0;
-  double from = 0, to = 0;
+struct Wanted : Reading {
+  std::string csv;
+  std::vector<std::string> vary;
+  Wanted() {
+    show = {"utility", "in_time", "worst", "refused", "failed"};
+    seeds = 5;
+  }
 };
 
 int sweep(const Wanted& wanted) {
-  auto base = load_experiment(wanted.path);
-  base.from = wanted.from;
-  base.to = wanted.to;
-  for (const auto& one : wanted.set) base = base.with({read_setting(one)});
+  const auto base = wanted.base();
   std::vector<std::vector<Setting>> grid{{}};
   for (const auto& text : wanted.vary) {
     const auto axis = read_axis(text);
@@ -37,9 +36,7 @@
   }
   std::vector<Experiment> experiments;
   for (const auto& point : grid)
-    for (int seed = 1; seed <= wanted.seeds; ++seed)
-      experiments.push_back(base.with(point).with({{"seed", std::to_string(seed)}}));
-  for (const auto& one : experiments) one.day();  // what is wrong is told before anything is played
+    for (auto& one : wanted.seeded(base.with(point))) experiments.push_back(std::move(one));
   Plays plays(wanted.keep, wanted.threads, false);
   const auto results = plays.all(experiments);
 
@@ -74,19 +71,10 @@
 void add_sweep(CLI::App& app, Chosen& chosen) {
   auto* command = app.add_subcommand("sweep", "Play a day over a grid of its parameters and several seeds.");
   const auto wanted = std::make_shared<Wanted>();
-  command->add_option("day", wanted->path, "The day's file")->required();
+  wanted->add_options(*command);
   command->add_option("--vary", wanted->vary, "PATH=A,B,C or PATH=FROM:TO:STEP; several make a grid")
       ->required();
-  command->add_option("--set", wanted->set, "PATH=VALUE, in place of the file's");
-  command->add_option("--seeds", wanted->seeds, "Plays of each point")->check(CLI::Range(1, 1000));
-  command->add_option("--show", wanted->show, "Figures of the table: median, least and most of the seeds")
-      ->delimiter(',');
-  command->add_option("--from", wanted->from, "Read the figures from this second on");
-  command->add_option("--to", wanted->to, "Up to this second");
-  command->add_option("--keep", wanted->keep,
-                      "JSON lines of all plays; what stands there is not played again");
-  command->add_option("--csv", wanted->csv, "The table as a file");
-  command->add_option("--threads", wanted->threads, "0: one a core");
+  command->add_option("--csv", wanted->csv, "The table as a file: median, least and most of the seeds");
   command->footer(
       "Example: yoketurn-lab sweep rig/days/site-lost.info --vary sites.*.rate=50:90:10 --vary plan=yes,no");
   command->callback([&chosen, wanted] { chosen = [wanted] { return sweep(*wanted); }; });
--- a/src/lab/table.cpp
+++ b/src/lab/table.cpp
@@ -59,13 +59,13 @@
 std::string curves(const std::vector<const Row*>& rows, std::size_t x, std::size_t y, std::size_t by,
                    bool one, const Scale& across) {
   std::string lines, data;
+  int number = 0;
   for (const auto& value : one ? std::vector<std::string>{""} : values(rows, by)) {
     const auto style = lines.empty() ? "plot" : ",";
-    const auto number = std::count(lines.begin(), lines.end(), '\'') / 4 + 1;
     lines += fmt::format(
         "{0} '-' using 1:2:3 with filledcurves lc {1} fs transparent solid 0.2 notitle, '-' using 1:2 "
         "with linespoints lc {1} lw 2 {2}",
-        style, number, one ? "notitle" : "title " + days::quoted(value));
+        style, ++number, one ? "notitle" : "title " + days::quoted(value));
     std::string range, middle;
     for (const auto* row : rows) {
       if (!one && (*row)[by] != value) continue;
@@ -127,12 +127,14 @@
   if (one && picture.map) throw std::invalid_argument("a map needs two parameters: --by is missing");
   const auto by = one ? x : table.column(picture.by);
   table.column(picture.y + ".least");  // what has no range is a parameter, not a figure
+  std::vector<std::pair<std::size_t, std::string>> only;
+  for (const auto& text : picture.where) {
+    const auto [name, value] = read_setting(text);
+    only.emplace_back(table.column(name), value);
+  }
   std::vector<const Row*> rows;
   for (const auto& row : table.rows)
-    if (std::all_of(picture.where.begin(), picture.where.end(), [&](const std::string& text) {
-          const auto only = read_setting(text);
-          return row[table.column(only.path)] == only.value;
-        }))
+    if (std::all_of(only.begin(), only.end(), [&](const auto& o) { return row[o.first] == o.second; }))
       rows.push_back(&row);
   if (rows.empty()) throw std::invalid_argument("no row of the table is left");
   const auto across = scale(rows, x, picture.map), up = scale(rows, by, picture.map);
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -8,8 +8,10 @@
 namespace yoketurn {
 using namespace policy;
 namespace {
-constexpr double kPeriod = 0.1;        // of the periodic work
-constexpr double kSoonest = 0.01;      // after which a part that found no place is looked at again
+constexpr double kPeriod = 0.1;    // of the periodic work
+constexpr double kSoonest = 0.01;  // after which a part that found no place is looked at again
+// Until a part goes again to a node that it has been to: what fails at once would spend all its calls there.
+constexpr double kLeastPause = 0.05;
 constexpr double kCopyShare = 0.1;     // copies to parts sent, at most
 constexpr double kCapacityDrift = 60;  // what nodes could do is forgotten with this time constant
 constexpr double kStandstill = 0.25;   // without any call of the module: the router itself stood still
@@ -114,9 +116,11 @@
   for (const bool again : {false, true}) {
     if (again && (beside || chosen != kNone)) break;
     // All calls of a part could else be spent within ms at the one node that is left and turns them away.
-    if (again && (leaf.calls.empty() || now < leaf.calls.back().sent + of(q).delay)) {
+    const auto paused_until =
+        leaf.calls.empty() ? kNever : leaf.calls.back().sent + std::max(of(q).delay, kLeastPause);
+    if (again && now < paused_until) {
       if (!leaf.calls.empty() && because.reason == Reason::none_left)
-        because = why(Reason::paused, leaf.calls.back().sent + of(q).delay - now);
+        because = why(Reason::paused, paused_until - now);
       break;
     }
     nodes.any_holder(leaf, [&](int i) {
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -305,12 +305,12 @@
 
 // The nodes that are known already.
 void Router::begin_lines(double at) {
-  for (const auto& member : list_now_.members) {
+  for (const auto& member : members_.list().members) {
     const auto node = nodes_.find(member.id);
     if (node == nodes_.end() || member.gone) continue;
     recorder_->listed(node->second, member.id,
                       fmt::format("{}:{}", member.at.address().to_string(), member.at.port()), member.up,
-                      born(member), list_now_.version, at);
+                      born(member), members_.list().version, at);
   }
 }
 
@@ -394,7 +394,7 @@
   }
   hidden_.clear();
   if (lost)
-    for (const auto& member : list_now_.members) {
+    for (const auto& member : members_.list().members) {
       const auto node = nodes_.find(member.id);
       const auto belief = queries_.sites().belief(look_up(zones_, member.zone));
       if (node == nodes_.end() || (belief != SiteBelief::lost && belief != SiteBelief::cut_off)) continue;
@@ -730,13 +730,8 @@
 // --- discovery
 
 void Router::listed(const MemberList& list) {
-  if (list.full) list_now_.members.clear();
-  list_now_.version = list.version;
-  for (const auto& member : list.members) {
-    std::erase_if(list_now_.members, [&](const Member& held) { return held.id == member.id; });
-    if (!member.gone) list_now_.members.push_back(member);
-  }
-  standing_.listed(list_now_, list.full, text_of(discovery_now_), now());
+  members_.apply(list);
+  standing_.listed(members_.list(), list.full, text_of(discovery_now_), now());
   std::vector<Host> hosts;
   std::set<int> present;
   std::size_t ready = 0;
@@ -826,12 +821,12 @@
 // another list: without asking for the whole one every further change would be passed over, unheard, until
 // the count had caught up, and a node drained meanwhile sent to for minutes.
 void Router::passed_over(const MemberList& list) {
-  if (list.members.empty() || list.version >= list_now_.version) return;
+  if (list.members.empty() || list.version >= members_.list().version) return;
   const auto at = now();
   standing_.versions().passed_over(list.version, at);
   if (at < ask_again_at_) return;
   ask_again_at_ = at + kAskAgain;
-  log_.line("list_again", "count={} held={}", list.version, list_now_.version);
+  log_.line("list_again", "count={} held={}", list.version, members_.list().version);
   watch_.ask_again();
 }
 
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -15,6 +15,7 @@
 
 #include "clients/listener.hpp"
 #include "datanodes/pool.hpp"
+#include "discovery/member_table.hpp"
 #include "discovery/node_ages.hpp"
 #include "discovery/watch.hpp"
 #include "logging/log.hpp"
@@ -168,7 +169,7 @@
 
   std::unique_ptr<Recorder> recorder_;
   std::unique_ptr<Segments> segments_;
-  MemberList list_now_;  // as it stands, for a time line that begins later
+  MemberTable members_;
   double reports_at_ = 0;
   long long unjudged_ = 0, lines_lost_ = 0;
   int disk_failures_ = 0;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -447,6 +447,38 @@
   }
 }
 
+TEST_CASE("a part that fails at once goes again to the only node there is after 50 ms, not within a few") {
+  Rig rig(settings(), 1);
+  rig.serve(400, 0.002);  // the hedge delay is a few ms then
+  auto q = rig.query(0, 1);
+  REQUIRE(rig.route(q).sends.size() == 1);
+  rig.settle(q, 0, Outcome::overloaded);
+  CHECK(rig.route(q).sends.empty());
+  rig.now += 0.04;
+  CHECK(rig.route(q).sends.empty());
+  rig.now += 0.011;
+  CHECK(rig.route(q).sends.size() == 1);
+}
+
+TEST_CASE(
+    "calls that never left this router spend neither the attempts of a part nor the budget of further ones") {
+  auto s = settings();
+  s.max_calls = 2;
+  s.extra_span = 2;  // a budget of no further call at all
+  Rig rig(s, 3);
+  auto q = rig.query(0, 1);
+  for (int unsent = 0; unsent < 3; ++unsent) {
+    REQUIRE(rig.route(q).sends.size() == 1);
+    rig.settle(q, 0, Outcome::unsent);
+    rig.now += 0.3;
+  }
+  REQUIRE(rig.route(q).sends.size() == 1);
+  rig.settle(q, 0, Outcome::failure);  // this one has left: the budget allows no other
+  rig.now += 0.3;
+  const auto answer = rig.route(q);
+  CHECK(answer.sends.empty());
+}
+
 TEST_CASE("of a node that is gone nothing is believed of the next one under its number") {
   Rig rig;
   rig.serve(30, 0.1);
--- a/tests/ending_test.cpp
+++ b/tests/ending_test.cpp
@@ -27,6 +27,12 @@
   town.until([] { return false; }, seconds);
 }
 
+void serve_one(Town& town) {
+  Client client(town);
+  client.say(ask("look", {1, 2}, "one"));
+  REQUIRE(client.answer() == 200);
+}
+
 }  // namespace
 
 TEST_SUITE_BEGIN("router");
@@ -149,6 +155,46 @@
   CHECK(last->answer() == 200);
 }
 
+TEST_CASE("a second SIGTERM, and a SIGHUP behind it, change nothing of how a router ends") {
+  Town town;
+  HeldParts held;
+  hold_parts(town, held);
+  Client client(town), resting(town);
+  resting.say("GET /_health HTTP/1.1\r\n\r\n");
+  REQUIRE(resting.answer() == 200);
+  client.say(ask("look", {1}));
+  REQUIRE(town.until([&] { return held.size() == 1; }));
+  const auto told = now();
+  town.router->drain();
+  wait(town, 1);
+  town.router->drain();
+  town.router->reload();
+  REQUIRE(resting.ended());
+  CHECK(now() - told < 2.5);  // counted from the first
+  CHECK(town.router->phase() == Router::Phase::draining);
+  answer_all(held);
+  CHECK(client.answer() == 200);
+  CHECK(town.until([&] { return town.router->phase() == Router::Phase::stopped; }));
+}
+
+TEST_CASE("of two new configurations in one turn the last one's discovery is followed") {
+  Town town;
+  serve_one(town);
+  toy::Discovery second(town.context), third(town.context);
+  second.whole = town.list(5, true);
+  third.whole = town.list(3, true);
+  for (const auto* discovery : {&second, &third}) {
+    town.configure(toy::config(kAnyPort, discovery->at(), 3, discovery->whole));
+    town.router->reload();
+  }
+  REQUIRE(town.until([&] { return third.asked.size() == 1; }));
+  wait(town, 0.5);
+  CHECK(second.asked.empty());
+  CHECK(town.logged("list version=3"));
+  CHECK(!town.logged("list version=5"));
+  serve_one(town);
+}
+
 TEST_CASE("a list is read whatever its lines and pieces") {
   Town town;
   const auto entry = toy::Discovery::entry("s-0", town.nodes[0]->at(), 0, "draining");
