--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -137,6 +137,11 @@
       due_timer_(context),
       signals_(context) {}
 
+// What ends connections may set due times, and the timer that waits for these ends first.
+Router::~Router() {
+  due_.on_earlier(nullptr);
+}
+
 void Router::start() {
   if (config_.peers_left_out)
     log_.line("left_out", "key=bounds.peer_messages why=\"no way to other routers\"");
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -36,6 +36,9 @@
   enum class Phase { starting, serving, draining, stopped };
 
   Router(boost::asio::io_context& context, const Config& config, Log& log);
+  ~Router();
+  Router(const Router&) = delete;
+  Router& operator=(const Router&) = delete;
   void build(std::string_view revision, std::uint64_t decisions);  // of the program, before the start
 
   void start();
--- a/tests/ending_test.cpp
+++ b/tests/ending_test.cpp
@@ -93,6 +93,9 @@
   auto [part, from] = held[0];
   DataNode::answer(*from, part, "done", 1, "v");
   CHECK(busy.back()->answer() != 0);  // one rests now, it makes room
+  Client waiting(
+      town);  // and the router ends while one waits: what it closes then sets no timer that is gone
+  wait(town, 0.1);
 }
 
 // A plain close resets the connection when a request crosses it, and takes along what the client has not
