--- a/src/buffers/socket_errors.hpp
+++ b/src/buffers/socket_errors.hpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <boost/asio/error.hpp>
 #include <boost/system/error_code.hpp>
+#include <cerrno>
 
 namespace yoketurn {
 
@@ -26,16 +27,9 @@
 // A connection could not be opened for want of a descriptor, port, memory or permission on this machine: that
 // tells nothing of the peer.
 inline bool is_local_lack(const boost::system::error_code& error) {
-  namespace errc = boost::system::errc;
-  static constexpr std::array kLacks{errc::too_many_files_open,
-                                     errc::too_many_files_open_in_system,
-                                     errc::address_not_available,
-                                     errc::permission_denied,
-                                     errc::resource_unavailable_try_again,
-                                     errc::operation_not_permitted,
-                                     errc::not_enough_memory,
-                                     errc::no_buffer_space};
-  return std::any_of(kLacks.begin(), kLacks.end(), [&](const auto lack) { return error == lack; });
+  static constexpr std::array kLacks{EMFILE, ENFILE, EADDRNOTAVAIL, EACCES, EAGAIN, EPERM, ENOMEM, ENOBUFS};
+  return error.category() == boost::system::system_category() &&
+         std::find(kLacks.begin(), kLacks.end(), error.value()) != kLacks.end();
 }
 
 }  // namespace yoketurn
