Waits, orders and evacuations go by the monotonic clock; disks that fail leave stated gaps

Events that the disk did not take were gone without a gap; a short or interrupted write lost a block; a full disk gathered a file a second; after a step back the file being written was the first to be removed. - An order's end and an evacuation's went by the wall clock of the router's start: after a step each order was refused as lapsed or too long. The end is worked out once, when it is told, and kept on the monotonic clock. - The audit paced its rounds by the wall clock; its ages and waits now go by its start and the monotonic time. Ruled out: the age of segment files on the monotonic clock (they outlive the process; said in segments.hpp).

--- a/rig/fleet.cpp
+++ b/rig/fleet.cpp
@@ -150,6 +150,10 @@
                                              : fmt::format("auditor-{}", i - router_names_.size()));
   for (int i = 0; i < day_.auditors; ++i) write_roll(i);
   processes_ = std::make_unique<Processes>(folder_, std::move(names));
+  if (std::any_of(day_.faults.begin(), day_.faults.end(),
+                  [](const Fault& fault) { return fault.what == "step_clock"; }))
+    processes_->stepped_clocks(std::filesystem::path(program_).parent_path() /
+                               "libyoketurn_stepped_clock.so");
   relink();
 }
 
@@ -380,6 +384,8 @@
       stopped_[static_cast<std::size_t>(r)] = true;
       note({0, Kind::process, r, -1, "", -1, -1, 0, 0, "stopped"});
     }
+  if (fault.what == "step_clock")
+    for (const auto r : routers) processes_->step_clock(r, static_cast<long long>(fault.amount));
   if (fault.what == "start")
     for (const auto r : routers)
       if (!processes_->running(r)) start(r);
@@ -459,6 +465,8 @@
       note({0, Kind::node, -1, n, "", -1, -1, 0, machine.capacity(now()), "started"});
       changed(n);
     }
+  if (fault.what == "step_clock")
+    for (const auto r : routers) processes_->step_clock(r, 0);
   if (fault.what == "lose" || fault.what == "kill" || fault.what == "term")
     for (const auto r : routers) {
       if (processes_->running(r)) processes_->signal(r, SIGKILL);
--- a/src/days/day.cpp
+++ b/src/days/day.cpp
@@ -38,12 +38,15 @@
     "kill",          // routers by SIGKILL; started again after `length`
     "term",          // the same by SIGTERM
     "pause",         // routers are stopped, and continued
+    "step_clock",    // wall clocks of routers or auditors are stepped by `amount` seconds, and back
     "hup",    // routers are told to read their files again, with the lines of `to` among those of `sites`
     "slow",   // nodes take `amount` times as long
     "surge",  // the clients of a site ask `amount` times as much
     "drain",  // nodes drain, and are ready again after `length`
 };
 
+constexpr double kLargestStep = 7200;  // of a wall clock
+
 double number(const std::string& path, const std::string& text, double least, double most) {
   std::size_t used = 0;
   double value = 0;
@@ -134,7 +137,8 @@
         {"to", to(f.to)},
         {"from", to(f.from, path + "from", 0, 3600)},
         {"for", to(f.length, path + "for", 0, 3600)},
-        {"amount", to(f.amount, path + "amount", 0, 1000)},
+        {"amount", to(f.amount, path + "amount", what == "step_clock" ? -kLargestStep : 0,
+                      what == "step_clock" ? kLargestStep : 1000)},
         {"every", to(f.every, path + "every", 0, 3600)}});
   if (f.of.empty()) throw BadDay(path + "of: it is not said of what");
   if (f.every > 0 && f.every <= f.length) throw BadDay(path + "every: must be longer than `for`");
--- a/src/emulator/town.cpp
+++ b/src/emulator/town.cpp
@@ -23,7 +23,8 @@
 constexpr double kNoTry = 0.02;     // less time left: no further try
 constexpr double kEndsAfter = 2.3;  // SIGTERM to the end
 constexpr double kTail = 0.6;       // after the longest deadline, until all is counted
-constexpr std::string_view kOfSockets[] = {"recount", "fork", "build", "unseen", "start", "hup"};
+constexpr std::string_view kOfSockets[] = {"recount", "fork", "build",     "unseen",
+                                           "start",   "hup",  "step_clock"};
 
 constexpr std::string_view kEnds[] = {"", "", "draining", "over"};  // by Machine::End, as the record has them
 
--- a/src/fleet/audit.cpp
+++ b/src/fleet/audit.cpp
@@ -14,6 +14,7 @@
 
 #include "audit/overseer.hpp"
 #include "audit/stragglers.hpp"
+#include "files/write_whole.hpp"
 #include "fleet/commands.hpp"
 #include "fleet/follow.hpp"
 #include "fleet/roll.hpp"
@@ -33,17 +34,17 @@
 constexpr std::size_t kForksTold = 10'000;           // remembered as told
 
 // Whole or not at all: a router never sees half of an order.
-void leave(const std::string& folder, const Order& order) {
+void leave(const std::string& folder, Order order) {
+  order.until += program_clock_behind();
   const auto path = folder + "/" + order.router + ".info";
   const auto fresh = path + ".new";
   const auto text = to_info(order);
   const auto file = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
   if (file < 0) throw std::runtime_error(fresh + " can't be written");
-  const auto written = ::write(file, text.data(), text.size());
+  const auto written = write_whole(file, text.data(), text.size());
   const auto synced = ::fsync(file);
   ::close(file);
-  if (written != static_cast<ssize_t>(text.size()) || synced != 0)
-    throw std::runtime_error(fresh + " can't be written whole");
+  if (!written || synced != 0) throw std::runtime_error(fresh + " can't be written whole");
   std::filesystem::rename(fresh, path);
 }
 
--- a/src/fleet/follow.cpp
+++ b/src/fleet/follow.cpp
@@ -11,6 +11,9 @@
 #include <fstream>
 #include <limits>
 
+#include "queries/clock.hpp"
+#include "time/wall_time.hpp"
+
 namespace yoketurn::fleet {
 
 namespace asio = boost::asio;
@@ -64,7 +67,12 @@
 }  // namespace
 
 double unix_now() {
-  return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+  static const auto unix_at_start = unix_at_zero();
+  return unix_at_start + yoketurn::now();
+}
+
+double program_clock_behind() {
+  return WallTime::now().unix_seconds - unix_now();
 }
 
 // --- readers
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -272,10 +272,12 @@
   const auto began = now();
   standing_.shape(operators.fleet, server_ != nullptr);
   queries_.sites().on(sites.on);
-  queries_.sites().evacuate(sites.evacuate.empty()
-                                ? std::nullopt
-                                : std::optional(Evacuation{look_up(zones_, sites.evacuate), began, sites.over,
-                                                           sites.until - unix_at_zero_, next_tick_ <= 0}));
+  queries_.sites().evacuate(
+      sites.evacuate.empty()
+          ? std::nullopt
+          : std::optional(Evacuation{look_up(zones_, sites.evacuate), began, sites.over,
+                                     evacuated_until_.told(WallTime{sites.until}, WallTime::now(), began),
+                                     next_tick_ <= 0}));
   if (!operators.timeline.on) {
     queries_.witness(nullptr);
     recorder_.reset();
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -23,6 +23,7 @@
 #include "router/config.hpp"
 #include "router/standing.hpp"
 #include "router/standstill.hpp"
+#include "time/wall_deadline.hpp"
 #include "timeline/recorder.hpp"
 #include "timeline/segments.hpp"
 #include "timeline/server.hpp"
@@ -141,6 +142,7 @@
   Asked asked_;
   Names zones_;
   double unix_at_zero_;
+  WallDeadline evacuated_until_;
   Phase phase_ = Phase::starting;
   double told_to_stop_ = 0;
   bool woken_ = false;
--- a/src/router/standing.cpp
+++ b/src/router/standing.cpp
@@ -117,7 +117,7 @@
   tell_doubts(now);
   state_ = {site_lost, draining, versions_.doubted_since()};
   look_for_orders(now);
-  for (const auto step : service_.tick(state_, now + unix_at_zero_, now)) {
+  for (const auto step : service_.tick(state_, now)) {
     log_.line("step", "what={} by=itself", name(step));
     perform(step);
   }
@@ -153,7 +153,7 @@
 }
 
 void Standing::take(const Order& order, double now) {
-  const auto verdict = service_.order(order, state_, now + unix_at_zero_, now);
+  const auto verdict = service_.order(order, state_, WallTime::now(), now);
   if (verdict == Verdict::known) return;
   verdict_ = name(verdict);
   if (verdict != Verdict::taken) {
--- a/src/timeline/segments.cpp
+++ b/src/timeline/segments.cpp
@@ -12,6 +12,8 @@
 #include <filesystem>
 #include <fstream>
 
+#include "files/write_whole.hpp"
+
 namespace yoketurn {
 
 namespace fs = std::filesystem;
@@ -22,7 +24,7 @@
 constexpr std::size_t kMostEvents = 1024;  // in a block
 constexpr std::size_t kLargestBlock = 1 << 20;
 constexpr auto kPatience = std::chrono::milliseconds(200);  // until a block that is not full is written
-constexpr double kAgain = 1;                                // after a failure of the disk
+constexpr auto kRetryAfter = std::chrono::seconds(1);       // of a failure of the disk
 
 struct Header {
   char magic[8];
@@ -74,7 +76,7 @@
 Segments::~Segments() {
   ends_ = true;
   thread_.join();
-  if (file_ >= 0) ::close(file_);
+  close_file();
 }
 
 void Segments::event(const Event& event) {
@@ -103,21 +105,39 @@
   return std::strerror(error_.load());
 }
 
-void Segments::fail() {
-  error_ = errno;
+void Segments::close_file() {
+  if (file_ < 0) return;
+  const auto closed = ::close(file_);
+  file_ = -1;
+  if (closed != 0 && errno != EINTR) fail(errno);
+}
+
+void Segments::fail(int error) {
+  error_ = error;
   ++failures_;
   if (file_ >= 0) ::close(file_);
   file_ = -1;
-  not_before_ = unix_now() + kAgain;
+  retry_at_ = std::chrono::steady_clock::now() + kRetryAfter;
+}
+
+// Later in order than every file that is there, also where the wall clock was stepped back since.
+std::string Segments::next_path() const {
+  auto stamp = static_cast<long long>(unix_now() * 1e3);
+  const auto files = files_of(limits_.folder);
+  if (!files.empty()) stamp = std::max(stamp, std::atoll(files.back().filename().c_str()) + 1);
+  return fmt::format("{}/{:013}-000001.ytseg", limits_.folder, stamp);
 }
 
 bool Segments::open() {
-  if (unix_now() < not_before_) return false;
+  if (std::chrono::steady_clock::now() < retry_at_) return false;
   std::error_code made;
   fs::create_directories(limits_.folder, made);
-  const auto path = fmt::format("{}/{:013.0f}-{:06}.ytseg", limits_.folder, unix_now() * 1e3, ++number_);
+  const auto path = next_path();
   file_ = ::open(path.c_str(), O_CREAT | O_EXCL | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
-  if (file_ < 0) return fail(), false;
+  if (file_ < 0) {
+    fail(errno);
+    return false;
+  }
   Header header{};
   std::memcpy(header.magic, kMagic, sizeof kMagic);
   header.version = kSegmentVersion;
@@ -125,17 +145,23 @@
   header.unix_at_zero = unix_at_zero_;
   std::strncpy(header.router, router_.c_str(), sizeof header.router - 1);
   header.sum = sum_of(&header, offsetof(Header, sum));
-  if (::write(file_, &header, sizeof header) != static_cast<ssize_t>(sizeof header)) return fail(), false;
-  written_ = sizeof header;
-  std::vector<char> names;
-  for (const auto& [line, name] : names_) {
-    const NameHead head{line, static_cast<std::uint32_t>(name.size())};
-    const auto* bytes = reinterpret_cast<const char*>(&head);
-    names.insert(names.end(), bytes, bytes + sizeof head);
-    names.insert(names.end(), name.begin(), name.end());
+  written_ = 0;
+  if (!write_all(reinterpret_cast<const char*>(&header), sizeof header)) {
+    ::unlink(path.c_str());  // a full disk would else gather one such file a second
+    return false;
   }
   clean();
-  return names.empty() || append('N', names);
+  return append_names();
+}
+
+// False: the disk took no more, and the file is closed; the torn tail is cut by whoever reads it.
+bool Segments::write_all(const char* bytes, std::size_t size) {
+  if (!write_whole(file_, bytes, size)) {
+    fail(errno);
+    return false;
+  }
+  written_ += size;
+  return true;
 }
 
 bool Segments::append(char type, const std::vector<char>& payload) {
@@ -146,13 +172,24 @@
   std::vector<char> bytes(sizeof block + payload.size());
   std::memcpy(bytes.data(), &block, sizeof block);
   if (!payload.empty()) std::memcpy(bytes.data() + sizeof block, payload.data(), payload.size());
-  const auto count = ::write(file_, bytes.data(), bytes.size());
-  if (count != static_cast<ssize_t>(bytes.size())) {
-    if (count >= 0) errno = ENOSPC;
-    return fail(), false;  // the torn tail is cut by whoever reads it
+  return write_all(bytes.data(), bytes.size());
+}
+
+bool Segments::append_names() {
+  std::vector<char> payload;
+  for (const auto& [line, name] : names_) {
+    const NameHead head{line, static_cast<std::uint32_t>(name.size())};
+    const auto* bytes = reinterpret_cast<const char*>(&head);
+    payload.insert(payload.end(), bytes, bytes + sizeof head);
+    payload.insert(payload.end(), name.begin(), name.end());
   }
-  written_ += bytes.size();
-  return true;
+  return payload.empty() || append('N', payload);
+}
+
+bool Segments::append_events(const std::vector<Event>& events) {
+  std::vector<char> payload(events.size() * sizeof(Event));
+  std::memcpy(payload.data(), events.data(), payload.size());
+  return append('E', payload);
 }
 
 // The oldest go, by age and by the sum of the sizes; the one that is written to stays.
@@ -170,19 +207,22 @@
   }
 }
 
+// Events that the disk does not take are counted; the next ones that it takes come behind a gap of so many.
 void Segments::put(std::vector<Event>& events) {
-  if (events.empty()) return;
-  if (file_ >= 0 && written_ + events.size() * sizeof(Event) > limits_.size) {
-    ::close(file_);
-    file_ = -1;
+  const auto many = events.size();
+  if (many > 0) last_at_ = events.back().at;
+  if (unwritten_ > 0) {
+    Event gap;
+    gap.at = many > 0 ? events.front().at : last_at_;
+    gap.line = kLoop;
+    gap.what = What::gap;
+    gap.a = static_cast<float>(unwritten_);
+    events.insert(events.begin(), gap);
   }
-  if (file_ < 0 && !open()) {
-    events.clear();
-    return;
-  }
-  std::vector<char> payload(events.size() * sizeof(Event));
-  std::memcpy(payload.data(), events.data(), payload.size());
-  append('E', payload);
+  if (events.empty()) return;
+  if (file_ >= 0 && written_ + events.size() * sizeof(Event) > limits_.size) close_file();
+  const auto written = (file_ >= 0 || open()) && append_events(events);
+  unwritten_ = written ? 0 : unwritten_ + many;
   events.clear();
 }
 
@@ -203,7 +243,7 @@
       std::memcpy(payload.data(), &head, sizeof head);
       payload.insert(payload.end(), item.name, item.name + head.length);
       if (names_.size() > 1 << 16) names_.erase(names_.begin());
-      if (file_ >= 0) append('N', payload);
+      if (file_ >= 0) append('N', payload);  // where that fails the next file begins with all names
     } else if (got) {
       if (item.event.what == What::clock) unix_at_zero_ = item.event.wide();
       events.push_back(item.event);
--- a/src/timeline/segments.hpp
+++ b/src/timeline/segments.hpp
@@ -1,10 +1,15 @@
 // Events on disk: segments, written by a thread of their own behind a lock-free queue, read after a kill at
 // any byte. The format stands in docs/timeline.md. Sizes are bytes, times seconds.
+//
+// Waits go by the monotonic clock. The age of a file goes by the wall clock, as files outlive the process: a
+// clock that is stepped forward makes them older by so much. Names keep the order in which files were begun
+// whatever the wall clock does.
 #pragma once
 
 #include <readerwriterqueue/readerwritercircularbuffer.h>
 
 #include <atomic>
+#include <chrono>
 #include <map>
 #include <string>
 #include <thread>
@@ -23,7 +28,7 @@
   int queue = 16384;
 };
 
-// The writer. What the disk does not take in time is counted and stands in the segment as a gap.
+// The writer. What the disk does not take, or not in time, is counted and stands in the segment as a gap.
 class Segments {
  public:
   Segments(const SegmentLimits& limits, std::string router, double unix_at_zero);
@@ -43,10 +48,15 @@
   };
   void write();
   bool open();
+  std::string next_path() const;
+  bool write_all(const char* bytes, std::size_t size);
   bool append(char type, const std::vector<char>& payload);
+  bool append_names();
+  bool append_events(const std::vector<Event>& events);
   void put(std::vector<Event>& events);
   void clean();
-  void fail();
+  void close_file();
+  void fail(int error);
 
   SegmentLimits limits_;
   std::string router_;
@@ -59,8 +69,9 @@
   // The writer's own.
   int file_ = -1;
   std::size_t written_ = 0;
-  double not_before_ = 0;
-  int number_ = 0;
+  std::chrono::steady_clock::time_point retry_at_{};  // after a failure; none: long ago
+  double last_at_ = 0;                                // of the last event
+  std::size_t unwritten_ = 0;  // events that the disk did not take since the last gap told
   std::map<std::uint32_t, std::string> names_;
   std::thread thread_;
 };
--- a/src/versions/service.cpp
+++ b/src/versions/service.cpp
@@ -52,21 +52,22 @@
     enter(taking_ == Taking::out ? Taking::returning : Taking::in, std::move(why), now);
 }
 
-Verdict Service::order(const Order& order, const State& state, double unix_now, double now) {
+Verdict Service::order(const Order& order, const State& state, WallTime wall_now, double now) {
   if (order.router != router_) return Verdict::of_another;
   if (order.term < last_.term) return Verdict::lower_term;
   if (order.term == last_.term) {
     if (order.number == last_.number) return Verdict::known;
     if (order.number < last_.number) return Verdict::old_number;
   }
-  if (unix_now >= order.until) return Verdict::lapsed;
-  if (order.until > unix_now + limits_.longest) return Verdict::too_long;
+  const auto left = span(wall_now, WallTime{order.until});
+  if (left <= 0) return Verdict::lapsed;
+  if (left > limits_.longest) return Verdict::too_long;
   const auto leaves = order.step == Step::step_aside || order.step == Step::shut_out;
   if (leaves && state.draining) return Verdict::draining;
   if (leaves && state.site_lost) return Verdict::site_lost;
   last_ = order;
   if (leaves) {
-    until_ = order.until;
+    until_ = now + left;
     enter(order.step == Step::shut_out ? Taking::out : Taking::aside, order.why, now);
   } else if (order.step == Step::back) {
     leave(order.why, now);
@@ -74,12 +75,12 @@
   return Verdict::taken;
 }
 
-std::vector<Step> Service::tick(const State& state, double unix_now, double now) {
+std::vector<Step> Service::tick(const State& state, double now) {
   std::vector<Step> steps;
   const auto away = taking_ == Taking::aside || taking_ == Taking::out;
   if (away && state.site_lost)
     leave("a site is lost", now);
-  else if (away && until_ > 0 && unix_now >= until_)
+  else if (away && until_ > 0 && now >= until_)
     leave("its order has lapsed", now);
   else if (away && until_ <= 0 && state.doubted_since <= 0)
     leave("its doubt is over", now);
--- a/src/versions/service.hpp
+++ b/src/versions/service.hpp
@@ -1,5 +1,7 @@
 // Whether this router takes part in its fleet's service: what orders and its own doubt make it do, and what
-// it refuses to do. No I/O. Times on the router's own clock, but for what an order says, which is Unix time.
+// it refuses to do. No I/O. Times are on the router's monotonic clock, but for what an order says, which is
+// wall time: it is turned into time left when the order is taken, so that a later step of the wall clock
+// neither ends an order nor prolongs it.
 #pragma once
 
 #include <cstdint>
@@ -8,6 +10,8 @@
 #include <string_view>
 #include <vector>
 
+#include "time/wall_time.hpp"
+
 namespace yoketurn {
 
 // From the mildest. The first three are done once, the next two hold until the order's end or `back`.
@@ -60,8 +64,8 @@
   void limit(const Limits& limits) { limits_ = limits; }
 
   // Steps that are to be done now come out of tick() or here; those that hold change taking().
-  Verdict order(const Order& order, const State& state, double unix_now, double now);
-  std::vector<Step> tick(const State& state, double unix_now, double now);
+  Verdict order(const Order& order, const State& state, WallTime wall_now, double now);
+  std::vector<Step> tick(const State& state, double now);
 
   Taking taking() const { return taking_; }
   bool healthy() const { return taking_ == Taking::in || taking_ == Taking::returning; }
@@ -80,7 +84,7 @@
   std::ranlux24_base chance_;
   Taking taking_ = Taking::in;
   double since_ = 0;
-  double until_ = 0;  // Unix time; 0: by itself, or in
+  double until_ = 0;  // when its order lapses; 0: by itself, or in
   std::string why_;
   Order last_;
   double asked_at_ = 0, pause_ = 0;  // by itself
--- /dev/null
+++ b/tests/faults/disk_injector.cpp
@@ -0,0 +1,134 @@
+#include "tests/faults/disk_injector.hpp"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdarg>
+#include <limits>
+#include <mutex>
+#include <set>
+#include <string_view>
+
+extern "C" {
+int __real_open(const char* path, int flags, ...);
+ssize_t __real_write(int descriptor, const void* data, size_t size);
+}
+
+namespace yoketurn::faults {
+namespace {
+
+constexpr auto kUnlimited = std::numeric_limits<std::size_t>::max();
+
+// What the disk does now; threads of the code under test read it.
+struct State {
+  std::mutex mutex;
+  bool active = false;
+  std::string suffix;
+  std::set<int> files;
+  int open_error = 0, write_error = 0;
+  std::size_t room = kUnlimited, longest_write = kUnlimited;
+  bool interrupted = false;  // the last write
+  int injected = 0;
+};
+
+State& state() {
+  static State instance;
+  return instance;
+}
+
+int failed(State& s, int error) {
+  ++s.injected;
+  errno = error;
+  return -1;
+}
+
+}  // namespace
+
+Disk::Disk(const std::string& suffix) {
+  const std::lock_guard lock(state().mutex);
+  state().active = true;
+  state().suffix = suffix;
+  state().injected = 0;
+}
+
+Disk::~Disk() {
+  heal();
+  const std::lock_guard lock(state().mutex);
+  state().active = false;
+  state().files.clear();
+}
+
+void Disk::fail(DiskCall call, int error) {
+  const std::lock_guard lock(state().mutex);
+  (call == DiskCall::open ? state().open_error : state().write_error) = error;
+}
+
+void Disk::fill_after(std::size_t bytes) {
+  const std::lock_guard lock(state().mutex);
+  state().room = bytes;
+}
+
+void Disk::cut_writes(std::size_t bytes) {
+  const std::lock_guard lock(state().mutex);
+  state().longest_write = bytes;
+}
+
+void Disk::heal() {
+  const std::lock_guard lock(state().mutex);
+  state().open_error = state().write_error = 0;
+  state().room = state().longest_write = kUnlimited;
+}
+
+int Disk::injected() const {
+  const std::lock_guard lock(state().mutex);
+  return state().injected;
+}
+
+namespace {
+
+int open_file(const char* path, int flags, mode_t mode) {
+  auto& s = state();
+  const std::lock_guard lock(s.mutex);
+  const auto concerned = s.active && std::string_view(path).ends_with(s.suffix);
+  if (concerned && s.open_error != 0) return failed(s, s.open_error);
+  const auto descriptor = __real_open(path, flags, mode);
+  if (concerned && descriptor >= 0) s.files.insert(descriptor);
+  if (!concerned) s.files.erase(descriptor);
+  return descriptor;
+}
+
+ssize_t write_file(int descriptor, const void* data, std::size_t size) {
+  auto& s = state();
+  const std::lock_guard lock(s.mutex);
+  if (!s.active || !s.files.contains(descriptor)) return __real_write(descriptor, data, size);
+  if (s.write_error != 0) return failed(s, s.write_error);
+  if (s.longest_write != kUnlimited) {
+    s.interrupted = !s.interrupted;
+    if (s.interrupted) return failed(s, EINTR);
+  }
+  const auto taken = std::min({size, s.room, s.longest_write});
+  if (size > 0 && taken == 0) return failed(s, ENOSPC);
+  if (taken < size) ++s.injected;
+  if (s.room != kUnlimited) s.room -= taken;
+  return __real_write(descriptor, data, taken);
+}
+
+}  // namespace
+}  // namespace yoketurn::faults
+
+extern "C" {
+
+int __wrap_open(const char* path, int flags, ...) {
+  va_list arguments;
+  va_start(arguments, flags);
+  const auto mode = (flags & O_CREAT) != 0 ? va_arg(arguments, mode_t) : mode_t{0};
+  va_end(arguments);
+  return yoketurn::faults::open_file(path, flags, mode);
+}
+
+ssize_t __wrap_write(int descriptor, const void* data, size_t size) {
+  return yoketurn::faults::write_file(descriptor, data, size);
+}
+}
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -2,7 +2,11 @@
 // on every run: the six rules, what each router believed, the pace of returns, with wide margins for times.
 #include "rig/fleet.hpp"
 
+#include <fmt/format.h>
+
 #include <cstdlib>
+#include <filesystem>
+#include <fstream>
 #include <random>
 #include <sstream>
 
@@ -84,6 +88,31 @@
   CHECK(share_of(p.record(), p.day, 14, 18).good() > 0.85);
 }
 
+// Slow start, drains, windows and beliefs go by the monotonic clock: the rules, which every day is checked
+// for, hold whatever the wall clocks show.
+TEST_CASE("clocks-stepped") {
+  const auto p = played("clocks-stepped");
+  // The clocks were really stepped: logs go by them.
+  const auto text = [&](int router) {
+    std::ifstream log(std::filesystem::absolute("fleet-clocks-stepped") /
+                      fmt::format("router-{}.log", router));
+    return std::string(std::istreambuf_iterator<char>(log), {});
+  };
+  for (const auto router : {0, 4}) {
+    CAPTURE(router);
+    double least = 1e18, most = 0;
+    std::istringstream lines(text(router));
+    for (std::string line; std::getline(lines, line);) {
+      const auto at = std::atof(line.c_str());
+      if (at <= 0) continue;
+      least = std::min(least, at);
+      most = std::max(most, at);
+    }
+    CHECK(most - least > 3000);
+  }
+  CHECK(share_of(p.record(), p.day, 17, 20).good() > 0.85);
+}
+
 TEST_CASE("site-deaf") {
   const auto p = played("site-deaf");
   CHECK(know(p, kAway, "brest", 5, 10, 2) >= 2);
--- a/tests/versions_test.cpp
+++ b/tests/versions_test.cpp
@@ -243,32 +243,32 @@
   for (const auto& c : cases) {
     CAPTURE(std::string(c.what));
     Service service({}, "r-1", 1);
-    REQUIRE(service.order(order(2, 5, Step::ask_again, 110), sound, 100, 0) == Verdict::taken);
-    CHECK(service.order(c.order, c.state, 100, 0) == c.verdict);
+    REQUIRE(service.order(order(2, 5, Step::ask_again, 110), sound, WallTime{100}, 0) == Verdict::taken);
+    CHECK(service.order(c.order, c.state, WallTime{100}, 0) == c.verdict);
   }
 }
 
 TEST_CASE("an order holds until it lapses, another takes its place, or a site is lost") {
   Service service({}, "r-1", 1);
   const Service::State sound;
-  REQUIRE(service.order(order(1, 1, Step::step_aside, 110), sound, 100, 0) == Verdict::taken);
+  REQUIRE(service.order(order(1, 1, Step::step_aside, 110), sound, WallTime{100}, 0) == Verdict::taken);
   CHECK(service.taking() == Taking::aside);
   CHECK(!service.healthy());
   CHECK(!service.bars(1));  // it serves what still comes
-  service.tick(sound, 109, 9);
+  service.tick(sound, 9);
   CHECK(service.taking() == Taking::aside);
   SUBCASE("lapses by itself") {
-    service.tick(sound, 110, 10);
+    service.tick(sound, 10);
     CHECK(service.taking() == Taking::in);
   }
   SUBCASE("a site is lost") {
-    service.tick({true, false, 0}, 109, 9);
+    service.tick({true, false, 0}, 9);
     CHECK(service.taking() == Taking::in);
   }
   SUBCASE("shut out, and back by steps") {
-    REQUIRE(service.order(order(1, 2, Step::shut_out, 120), sound, 109, 9) == Verdict::taken);
+    REQUIRE(service.order(order(1, 2, Step::shut_out, 120), sound, WallTime{109}, 9) == Verdict::taken);
     for (int i = 0; i < 20; ++i) CHECK(service.bars(9.1));
-    REQUIRE(service.order(order(1, 3, Step::back, 120), sound, 111, 11) == Verdict::taken);
+    REQUIRE(service.order(order(1, 3, Step::back, 120), sound, WallTime{111}, 11) == Verdict::taken);
     CHECK(service.taking() == Taking::returning);
     CHECK(service.healthy());
     const auto barred = [&](double at) {
@@ -280,13 +280,13 @@
     CHECK(barred(11.5) < 850);
     CHECK(barred(12.5) > 400);
     CHECK(barred(12.5) < 600);
-    service.tick(sound, 113, 13.1);
+    service.tick(sound, 13.1);
     CHECK(service.taking() == Taking::in);
     CHECK(!service.bars(13.2));
   }
   SUBCASE("an old word does not bring it back") {
-    REQUIRE(service.order(order(2, 1, Step::step_aside, 120), sound, 105, 5) == Verdict::taken);
-    CHECK(service.order(order(1, 9, Step::back, 120), sound, 106, 6) == Verdict::lower_term);
+    REQUIRE(service.order(order(2, 1, Step::step_aside, 120), sound, WallTime{105}, 5) == Verdict::taken);
+    CHECK(service.order(order(1, 9, Step::back, 120), sound, WallTime{106}, 6) == Verdict::lower_term);
     CHECK(service.taking() == Taking::aside);
   }
 }
@@ -298,7 +298,7 @@
     Service service({true, 0.1, 900}, "r-1", static_cast<std::uint64_t>(i));
     int own = 0;
     for (double now = 0; now < 40; now += 0.2)
-      for (const auto step : service.tick({false, false, now < 1 ? 0.0 : 1.0}, now, now)) {
+      for (const auto step : service.tick({false, false, now < 1 ? 0.0 : 1.0}, now)) {
         CHECK(step == Step::ask_again);
         ++own;
       }
@@ -306,13 +306,13 @@
     CHECK(own <= 7);
     asked += own;
     aside += service.taking() == Taking::aside;
-    service.tick({}, 41, 41);  // the doubt is over
+    service.tick({}, 41);  // the doubt is over
     CHECK(service.taking() == Taking::in);
   }
   CHECK(aside > kRouters / 20);
   CHECK(aside < kRouters / 6);
   Service off({}, "r-1", 1);
-  for (double now = 0; now < 40; now += 0.2) CHECK(off.tick({false, false, 1}, now, now).empty());
+  for (double now = 0; now < 40; now += 0.2) CHECK(off.tick({false, false, 1}, now).empty());
 }
 
 TEST_CASE("an order's file is taken whole or not at all") {
@@ -398,15 +398,15 @@
     for (const auto& [term, number, step, lasts] : orders) {
       now += 0.5;
       const auto verdict = service.order(order(term, number, static_cast<Step>(step), now + lasts),
-                                         {step == 2, number == 8, 0}, now, now);
+                                         {step == 2, number == 8, 0}, WallTime{now}, now);
       if (verdict == Verdict::taken) {
         RC_ASSERT(term >= highest);
         highest = term;
       }
-      service.tick({}, now, now);
+      service.tick({}, now);
     }
-    service.tick({}, now + 901, now + 901);
-    service.tick({}, now + 905, now + 905);
+    service.tick({}, now + 901);
+    service.tick({}, now + 905);
     RC_ASSERT(service.taking() == Taking::in);
     RC_ASSERT(!service.bars(now + 905));
   }));
