--- a/rig/fleet.cpp
+++ b/rig/fleet.cpp
@@ -593,6 +593,8 @@
   processes_.reset();
   for (const auto& machine : machines_)
     result_.most_pushed = std::max(result_.most_pushed, machine->most_pushed());
+  for (const auto& of_router : ports_)
+    for (const auto& port : of_router) result_.connections += port->connections();
   read_logs();
   result_.unix_zero = unix_zero_;
   std::stable_sort(result_.record.begin(), result_.record.end(),
--- a/rig/fleet.hpp
+++ b/rig/fleet.hpp
@@ -22,6 +22,7 @@
   Record record;
   double most_pushed = 0;  // the cold machine that came nearest to falling over: share of the bound
   double unix_zero = 0;    // of the day's times
+  int connections = 0;     // made to nodes by all routers
   double ran_late = 0;  // the most by which the rig itself was late: what it says of times is worth no more
 };
 
--- a/rig/machines.cpp
+++ b/rig/machines.cpp
@@ -146,7 +146,10 @@
       note_(std::move(note)),
       door_(context) {
   door_.keeps = false;
-  door_.on_begin = [this](toy::Session& session) { session.hold(!way_.from_node); };
+  door_.on_begin = [this](toy::Session& session) {
+    ++connections_;
+    session.hold(!way_.from_node);
+  };
   door_.on_load = [] { return std::string("-"); };
   door_.on_part = [this](const toy::DataNode::Part& part, toy::Session& from) {
     came(part, from.shared_from_this());
--- a/rig/machines.hpp
+++ b/rig/machines.hpp
@@ -100,7 +100,8 @@
        std::function<double()> clock, Machine::Note note);
   boost::asio::ip::tcp::endpoint at() const { return door_.at(); }
   void set(const Way& way);
-  void reset();  // all connections
+  void reset();                                     // all connections
+  int connections() const { return connections_; }  // that were made to it, in all
 
  private:
   struct Door : toy::DataNode {
@@ -122,6 +123,7 @@
   std::function<double()> clock_;
   Machine::Note note_;
   Way way_;
+  int connections_ = 0;
   std::vector<std::function<void()>> held_;  // what came while the way carried nothing
   Door door_;
 };
--- a/rig/main.cpp
+++ b/rig/main.cpp
@@ -72,9 +72,11 @@
     const auto result = fleet.play();
     const auto verdict = tell(result.record, day);
     fmt::print(
-        "seed {}, plan {}; the rig was late by {:.0f} ms at most; nearest to falling over {:.2f}; record: "
-        "{}/record.jsonl\n",
-        day.seed, day.plan ? "on" : "off", result.ran_late * 1e3, result.most_pushed, folder);
+        "seed {}, plan {}; the rig was late by {:.0f} ms at most; nearest to falling over {:.2f}; {} "
+        "connections to "
+        "nodes; {:.3f} of the queries answered well; record: {}/record.jsonl\n",
+        day.seed, day.plan ? "on" : "off", result.ran_late * 1e3, result.most_pushed, result.connections,
+        share_of(result.record, day, 0, day.seconds).good(), folder);
     return verdict;
   } catch (const std::exception& error) {
     fmt::print(stderr, "yoketurn-rig: {}\n", error.what());
--- a/rig/processes.cpp
+++ b/rig/processes.cpp
@@ -2,8 +2,10 @@
 
 #include <fcntl.h>
 #include <fmt/format.h>
+#include <linux/close_range.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <unistd.h>
 
 #include <boost/process.hpp>
 #include <boost/process/extend.hpp>
@@ -15,6 +17,10 @@
 
 namespace process = boost::process;
 
+namespace {
+constexpr unsigned kFirstOther = 3;  // descriptor after those of the standard streams
+}
+
 struct Processes::One {
   process::child child;
   bool begun = false;
@@ -67,10 +73,13 @@
     environment["YOKETURN_CLOCK_OFFSET"] = clock_file(which);
   }
   // They end with the rig, however it ends.
-  one.child =
-      process::child(program, process::args(arguments), environment,
-                     process::std_in<process::null, process::std_out> out.get(), process::std_err > out.get(),
-                     process::extend::on_exec_setup([](auto&) { ::prctl(PR_SET_PDEATHSIG, SIGKILL); }));
+  one.child = process::child(program, process::args(arguments), environment,
+                             process::std_in<process::null, process::std_out> out.get(),
+                             process::std_err > out.get(), process::extend::on_exec_setup([](auto&) {
+                               ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+                               // The rig's own sockets would count as the process's.
+                               ::close_range(kFirstOther, ~0U, CLOSE_RANGE_CLOEXEC);
+                             }));
   one.begun = true;
 }
 
--- a/src/policy/verticals.cpp
+++ b/src/policy/verticals.cpp
@@ -17,8 +17,10 @@
 // The mean of the quicker half, 0 where there is no answer.
 double quicker_half(std::vector<Sample> samples) {
   std::erase_if(samples, [](const Sample& s) { return s.censored; });
-  by_value(samples);
   const auto half = (samples.size() + 1) / 2;
+  const auto middle = samples.begin() + static_cast<std::ptrdiff_t>(half);
+  std::nth_element(samples.begin(), middle, samples.end(),
+                   [](const Sample& a, const Sample& b) { return a.value < b.value; });
   double sum = 0;
   for (std::size_t i = 0; i < half; ++i) sum += samples[i].value;
   return half > 0 ? sum / static_cast<double>(half) : 0;
