--- a/tests/emulator_test.cpp
+++ b/tests/emulator_test.cpp
@@ -246,6 +246,37 @@
   }
 }
 
+TEST_CASE(
+    "the rules hold where trouble begins after a long quiet time, and through long outages of discovery") {
+  struct Row {
+    const char* what;
+    int seconds;
+    double rate;  // queries a second at each site
+    const char* faults;
+  };
+  const Row rows[] = {
+      {"half an hour nearly without queries, then all at once", 1830, 0.2,
+       "surge { of site:a from 1800 for 25 amount 200 } lose { of site:b from 1803 for 5 } "
+       "drain { of nodes:c from 1806 for 6 } kill { of router:a-1 from 1809 for 1 }"},
+      {"five minutes without discovery, drains and a cold return during it and at its end", 340, 20,
+       "hush { of routers:a,routers:b from 5 for 300 } drain { of node:a-1,node:b-2 from 100 for 60 } "
+       "lose { of nodes:c from 200 for 20 } drain { of nodes:b from 305.2 for 15 }"},
+      {"blind agents for two minutes under a restart", 160, 20,
+       "blind { of routers:a from 5 for 120 } kill { of router:a-0 from 60 for 2 } "
+       "drain { of nodes:a from 124 for 10 } lose { of nodes:b from 122 for 3 }"}};
+  for (const auto& row : rows) {
+    CAPTURE(std::string(row.what));
+    const auto p =
+        played(fmt::format("seconds {} shards 12 cells 3 service 0.02 cold 8 start 0.3\n"
+                           "sites {{ a {{ nodes 6 routers 2 rate {} }} b {{ nodes 6 routers 2 rate {} }} c "
+                           "{{ nodes 6 routers 2 rate {} "
+                           "}} }}\nfaults {{ {} }}",
+                           row.seconds, row.rate, row.rate, row.rate, row.faults));
+    for (const auto& breach : p.breaches) FAIL_CHECK("rule " << breach.rule << ": " << breach.what);
+    CHECK(p.share(row.seconds - 4, row.seconds, -1).good() > 0.85);
+  }
+}
+
 // Routers that break a rule on purpose must be found out: else the checker watches nothing.
 TEST_CASE("the checker finds each rule that a broken design breaks") {
   struct Row {
