--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -14,11 +14,6 @@
 
 namespace {
 
-// The protocol's: SIGKILL comes after the longest deadline, this at most, and the time for what crosses
-// SIGTERM.
-constexpr double kLongestEnd = 3;
-constexpr double kCrossing = 0.7;
-constexpr double kSpare = 0.2;   // before it, by which what came last has its answer
 constexpr double kFigures = 10;  // between two lines of figures
 constexpr std::size_t kRoomShare =
     4;  // of the descriptors: from so many clients on idle ones make room, as these hold a third
@@ -119,6 +114,7 @@
       asked_(asked_of(config)),
       zones_(index(config.zones)),
       unix_at_zero_(unix_at_zero()),
+      shutdown_(config.bounds.longest_wait),
       still_(kReadsFirstAfter),
       node_ages_(config.settings.cold_time),
       standing_({config.name, site_of(config), config.verticals}, config.seed, now(), unix_at_zero_, log,
@@ -217,23 +213,17 @@
   log_.line("phase", "name={} in_hand={} clients={}", name(phase), by_client_.size(), clients_.connections());
 }
 
-// Clients find out late, and go on with the connections they have: these are served for half of the time that
-// is left. Where the other routers restart too, all would else have closed before the first is back.
 void Router::drain() {
   if (phase_ == Phase::draining) return;
   enter(Phase::draining);
-  told_to_stop_ = now();
+  shutdown_.begin(now());
   wake();
 }
 
-double Router::killed_at() const {
-  return told_to_stop_ + kCrossing + std::min(config_.bounds.longest_wait, kLongestEnd);
-}
-
 void Router::wind_up(double at) {
-  if (phase_ != Phase::draining || at < told_to_stop_ + kCrossing) return;
+  if (phase_ != Phase::draining || at < shutdown_.accepts_until()) return;
   clients_.stop();
-  if (clients_.connections() > 0 && at < (told_to_stop_ + kCrossing + killed_at()) / 2) return;
+  if (clients_.connections() > 0 && at < shutdown_.serves_until()) return;
   clients_.wind_down();
   clients_.close_idle();
   if (clients_.owes()) return;
@@ -573,7 +563,7 @@
   q.vertical = ask.vertical;
   q.expires = at + ask.remaining;
   // What comes so late must not be found without its answer by SIGKILL.
-  if (phase_ == Phase::draining) q.expires = std::min(q.expires, killed_at() - kSpare);
+  if (phase_ == Phase::draining) q.expires = std::min(q.expires, shutdown_.answers_by());
   q.client_retry = ask.client_retry;
   const auto no_room = open_ >= config_.bounds.max_open;
   if (no_room || standing_.bars(at)) q.barred = no_room ? Reason::no_room : Reason::shut_out;
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -21,6 +21,7 @@
 #include "logging/log.hpp"
 #include "queries/queries.hpp"
 #include "router/config.hpp"
+#include "router/shutdown.hpp"
 #include "router/standing.hpp"
 #include "router/standstill.hpp"
 #include "time/wall_deadline.hpp"
@@ -131,7 +132,6 @@
   void tick();
   void await_signal();
   void enter(Phase phase);
-  double killed_at() const;
   void wind_up(double at);
   void tell_figures(double at);
   void tell_of(std::string_view end, long long query, const Why& why);
@@ -144,7 +144,7 @@
   double unix_at_zero_;
   WallDeadline evacuated_until_;
   Phase phase_ = Phase::starting;
-  double told_to_stop_ = 0;
+  Shutdown shutdown_;
   bool woken_ = false;
   bool in_turn_ = false;
   double next_tick_ = 0;
