--- a/rig/clients.cpp
+++ b/rig/clients.cpp
@@ -181,7 +181,12 @@
   if (left <= 0.02) return;
   const auto router = front_.pick(site_);
   if (router < 0) {
-    note_({now, Kind::unanswered, -1, -1, id, ask.vertical, -1, tried, 0, "no router"});
+    note_({.at = now,
+           .kind = Kind::unanswered,
+           .id = id,
+           .vertical = ask.vertical,
+           .number = tried,
+           .text = "no router"});
     return ended(ask, tried, 0, 0);
   }
   auto& idle = idle_[static_cast<std::size_t>(router)];
@@ -210,14 +215,27 @@
       v.name, id, left * 1e3, key, body.size(), body);
   const auto allowed = left;
   line->on_written = [this, router, id, ask, tried, allowed, shards] {
-    note_({clock_(), Kind::asked, router, -1, id, ask.vertical, -1, tried, allowed, shards});
+    note_({.at = clock_(),
+           .kind = Kind::asked,
+           .router = router,
+           .id = id,
+           .vertical = ask.vertical,
+           .number = tried,
+           .value = allowed,
+           .text = shards});
   };
   line->then = [this, router, id, ask, tried, line = line.get()](const char* trouble) {
     const auto at = clock_();
     int status = 0;
     double retry_after = 0;
     if (trouble != nullptr) {
-      note_({at, Kind::unanswered, router, -1, id, ask.vertical, -1, tried, 0, trouble});
+      note_({.at = at,
+             .kind = Kind::unanswered,
+             .router = router,
+             .id = id,
+             .vertical = ask.vertical,
+             .number = tried,
+             .text = trouble});
     } else {
       status = static_cast<int>(line->answer.result_int());
       const auto header = line->answer.find(http::field::retry_after);
@@ -236,10 +254,23 @@
         } catch (const std::exception&) {
           text = "unreadable";
         }
-      note_({at, Kind::answered, router, -1, id, ask.vertical, -1, status, retry_after, text});
+      note_({.at = at,
+             .kind = Kind::answered,
+             .router = router,
+             .id = id,
+             .vertical = ask.vertical,
+             .number = status,
+             .value = retry_after,
+             .text = text});
       // More behind the answer, on a connection on which nothing was asked, would be a second one.
       if (line->buffer.size() > 0)
-        note_({at, Kind::answered, router, -1, id, ask.vertical, -1, status, 0, "again"});
+        note_({.at = at,
+               .kind = Kind::answered,
+               .router = router,
+               .id = id,
+               .vertical = ask.vertical,
+               .number = status,
+               .text = "again"});
       auto& kept = idle_[static_cast<std::size_t>(router)];
       if (line->answer.keep_alive() && kept.size() < kMostIdle)
         kept.push_back(line->shared_from_this());
--- a/rig/fleet.cpp
+++ b/rig/fleet.cpp
@@ -236,32 +236,43 @@
                       {"audit", "--store", fmt::format("{}/audit-{}.db", folder_, auditor), "run", "--roll",
                        fmt::format("{}/roll-{}.info", folder_, auditor)});
     wanted_[r] = true;
-    return note({0, Kind::process, router, -1, "", -1, -1, processes_->id(router), 0, "started"});
+    return note(
+        {.kind = Kind::process, .router = router, .number = processes_->id(router), .text = "started"});
   }
   processes_->start(router, other_[r] ? program_ + "_other" : program_,
                     {"run", "--config", fmt::format("{}/router-{}.json", folder_, router), "--operators",
                      fmt::format("{}/router-{}.info", folder_, router)});
   wanted_[r] = true;
-  note({0, Kind::process, router, -1, "", -1, -1, processes_->id(router), 0, "started"});
+  note({.kind = Kind::process, .router = router, .number = processes_->id(router), .text = "started"});
   // What its agent holds counts as told.
   for (std::size_t n = 0; n < entries_.size(); ++n)
     if (entries_[n].state != "ready" && agents_[r]->told == version_)
-      note({0, Kind::told, router, static_cast<int>(n), "", -1, -1, version_, 0, entries_[n].state});
+      note({.kind = Kind::told,
+            .router = router,
+            .node = static_cast<int>(n),
+            .number = version_,
+            .text = entries_[n].state});
 }
 
 void Fleet::watched(int router, Agent& agent) {
   if (agent.said == agent.told) return;
   agent.said = agent.told;
   for (std::size_t n = 0; n < entries_.size(); ++n)
-    note({0, Kind::told, router, static_cast<int>(n), "", -1, -1, agent.told, 0,
-          agent.forked.contains(static_cast<int>(n)) ? "draining" : entries_[n].state});
+    note({.kind = Kind::told,
+          .router = router,
+          .node = static_cast<int>(n),
+          .number = agent.told,
+          .text = agent.forked.contains(static_cast<int>(n)) ? "draining" : entries_[n].state});
 }
 
 void Fleet::end(int router, int signal) {
   wanted_[static_cast<std::size_t>(router)] = false;
   if (!processes_->running(router)) return;
   processes_->signal(router, signal);
-  note({0, Kind::process, router, -1, "", -1, -1, signal, 0, signal == SIGKILL ? "killed" : "told to end"});
+  note({.kind = Kind::process,
+        .router = router,
+        .number = signal,
+        .text = signal == SIGKILL ? "killed" : "told to end"});
 }
 
 // One that ends without being told to has crashed.
@@ -269,8 +280,11 @@
   for (std::size_t r = 0; r < wanted_.size(); ++r)
     if (wanted_[r] && !processes_->running(static_cast<int>(r))) {
       wanted_[r] = false;
-      note({0, Kind::process, static_cast<int>(r), -1, "", -1, -1, processes_->exit_code(static_cast<int>(r)),
-            1, "crashed"});
+      note({.kind = Kind::process,
+            .router = static_cast<int>(r),
+            .number = processes_->exit_code(static_cast<int>(r)),
+            .value = 1,
+            .text = "crashed"});
     }
 }
 
@@ -307,7 +321,12 @@
         agent.tell(toy::Discovery::list(version - agent.before, false, fresh));
         agent.said = agent.told;
         // A spare that nobody follows tells nobody.
-        if (of == &agents_) note({0, Kind::told, router, node, "", -1, -1, version, 0, entries_[n].state});
+        if (of == &agents_)
+          note({.kind = Kind::told,
+                .router = router,
+                .node = node,
+                .number = version,
+                .text = entries_[n].state});
       }
     }
   });
@@ -366,13 +385,13 @@
   if (over_) return;
   const auto& fault = day_.faults[f];
   active_[f] = true;
-  note({0, Kind::fault, -1, -1, "", -1, -1, 1, 0, fault.what + " " + fault.of});
+  note({.kind = Kind::fault, .number = 1, .text = fault.what + " " + fault.of});
   const auto routers = processes_of(fault.of);
   const auto nodes = nodes_of(day_, fault.of);
   if (fault.what == "lose") {
     for (const auto n : nodes) {
       machines_[static_cast<std::size_t>(n)]->die();
-      note({0, Kind::node, -1, n, "", -1, -1, 0, 0, "died"});
+      note({.kind = Kind::node, .node = n, .text = "died"});
     }
     for (const auto r : routers) end(r, SIGKILL);
   }
@@ -382,7 +401,7 @@
     for (const auto r : routers) {
       processes_->signal(r, SIGSTOP);
       stopped_[static_cast<std::size_t>(r)] = true;
-      note({0, Kind::process, r, -1, "", -1, -1, 0, 0, "stopped"});
+      note({.kind = Kind::process, .router = r, .text = "stopped"});
     }
   if (fault.what == "step_clock")
     for (const auto r : routers) processes_->step_clock(r, static_cast<long long>(fault.amount));
@@ -410,7 +429,7 @@
     for (const auto n : nodes) {
       machines_[static_cast<std::size_t>(n)]->drain(true);
       entries_[static_cast<std::size_t>(n)].state = "draining";
-      note({0, Kind::node, -1, n, "", -1, -1, 0, 0, "draining"});
+      note({.kind = Kind::node, .node = n, .text = "draining"});
       changed(n);
     }
   for (const auto r : routers) {
@@ -451,7 +470,7 @@
   if (!active_[f] || over_) return;
   const auto& fault = day_.faults[f];
   active_[f] = false;
-  note({0, Kind::fault, -1, -1, "", -1, -1, 0, 0, fault.what + " " + fault.of});
+  note({.kind = Kind::fault, .text = fault.what + " " + fault.of});
   const auto routers = processes_of(fault.of);
   const auto nodes = nodes_of(day_, fault.of);
   if (fault.what == "lose")
@@ -462,7 +481,7 @@
         entries_[static_cast<std::size_t>(n)].name = node_names_[static_cast<std::size_t>(n)] + "-anew";
       entries_[static_cast<std::size_t>(n)].started_ms = static_cast<long long>((unix_zero_ + now()) * 1e3);
       for (auto& of_router : ports_) of_router[static_cast<std::size_t>(n)]->reset();
-      note({0, Kind::node, -1, n, "", -1, -1, 0, machine.capacity(now()), "started"});
+      note({.kind = Kind::node, .node = n, .value = machine.capacity(now()), .text = "started"});
       changed(n);
     }
   if (fault.what == "step_clock")
@@ -476,7 +495,7 @@
     for (const auto r : routers) {
       processes_->signal(r, SIGCONT);
       stopped_[static_cast<std::size_t>(r)] = false;
-      note({0, Kind::process, r, -1, "", -1, -1, 0, 0, "resumed"});
+      note({.kind = Kind::process, .router = r, .text = "resumed"});
     }
   if (fault.what == "slow")
     for (const auto n : nodes) machines_[static_cast<std::size_t>(n)]->slow = 1;
@@ -485,7 +504,7 @@
     for (const auto n : nodes) {
       machines_[static_cast<std::size_t>(n)]->drain(false);
       entries_[static_cast<std::size_t>(n)].state = "ready";
-      note({0, Kind::node, -1, n, "", -1, -1, 0, 1, "ready"});
+      note({.kind = Kind::node, .node = n, .value = 1, .text = "ready"});
       changed(n);
     }
   if (fault.what == "build")
--- a/rig/machines.cpp
+++ b/rig/machines.cpp
@@ -80,7 +80,7 @@
   const auto bound = bears(day_, capacity(now));
   most_pushed_ = std::max(most_pushed_, static_cast<double>(arrivals_.size()) / bound);
   if (static_cast<double>(arrivals_.size()) <= bound) return;
-  note_({now, Kind::node, -1, number_, "", -1, -1, 0, capacity(now), "fell"});
+  note_({.at = now, .kind = Kind::node, .node = number_, .value = capacity(now), .text = "fell"});
   die();
 }
 
@@ -90,8 +90,14 @@
   push(now);
   if (!up_) return;
   if (draining_ || static_cast<int>(queue_.size()) >= day_.queue) {
-    note_({now, Kind::full, work.router, number_, work.query, -1, work.shard, work.step, 0,
-           draining_ ? "draining" : ""});
+    note_({.at = now,
+           .kind = Kind::full,
+           .router = work.router,
+           .node = number_,
+           .id = work.query,
+           .shard = work.shard,
+           .number = work.step,
+           .text = draining_ ? "draining" : ""});
     return work.done("full", 0);
   }
   queue_.push_back(std::move(work));
@@ -107,7 +113,14 @@
     auto work = std::move(queue_.front());
     queue_.pop_front();
     if (clock_() > work.until) {
-      note_({clock_(), Kind::full, work.router, number_, work.query, -1, work.shard, work.step, 0, "over"});
+      note_({.at = clock_(),
+             .kind = Kind::full,
+             .router = work.router,
+             .node = number_,
+             .id = work.query,
+             .shard = work.shard,
+             .number = work.step,
+             .text = "over"});
       work.done("full", 0);
       continue;
     }
@@ -123,13 +136,25 @@
     if (v.semantics == "keyed") window = std::max(window, v.window);
   const auto keyed = work.key.starts_with("k");
   const auto repeats = keyed && effects_.repeats(work.key, work.shard, window, work.sent);
-  note_({now, repeats ? Kind::repeat : Kind::ran, work.router, number_, work.query, -1, work.shard, work.step,
-         0, work.key});
+  note_({.at = now,
+         .kind = repeats ? Kind::repeat : Kind::ran,
+         .router = work.router,
+         .node = number_,
+         .id = work.query,
+         .shard = work.shard,
+         .number = work.step,
+         .text = work.key});
   const auto time = day_.service * slow / capacity(now) * draw(day_, chance_);
   after(context_, repeats ? time / 4 : time, [this, life = life_, work = std::move(work)] {
     if (life != life_) return;
     --busy_;
-    note_({clock_(), Kind::served, work.router, number_, work.query, -1, work.shard, work.step, 0, ""});
+    note_({.at = clock_(),
+           .kind = Kind::served,
+           .router = work.router,
+           .node = number_,
+           .id = work.query,
+           .shard = work.shard,
+           .number = work.step});
     work.done("done", 1000 + work.shard);
     next();
   });
@@ -181,8 +206,14 @@
   // query.shard, and .p2 for the second step
   const auto second = part.id.ends_with(".p2");
   const auto query = part.id.substr(0, part.id.rfind('.', part.id.size() - (second ? 4 : 1)));
-  note_({clock_(), Kind::sent, router_, number_, query, -1, part.shard, second ? 2 : 1, 0,
-         named(part.list, "k")});
+  note_({.at = clock_(),
+         .kind = Kind::sent,
+         .router = router_,
+         .node = number_,
+         .id = query,
+         .shard = part.shard,
+         .number = second ? 2 : 1,
+         .text = named(part.list, "k")});
   auto pass = [this, part, weak = std::weak_ptr(from), sent = clock_()] { deliver(part, weak, sent); };
   if (!way_.to_node) {
     if (held_.size() < kMostHeld) held_.push_back(std::move(pass));
--- a/src/days/passing.hpp
+++ b/src/days/passing.hpp
@@ -18,9 +18,9 @@
   int vertical = -1, shard = -1;
   int number = 0;  // as in the record: which try, status, step, version
   double value = 0;
-  bool whole = false;           // answered: it is marked so
-  std::span<const int> shards;  // asked: of its parts; answered: that are in
-  std::string_view text;        // as in the record, but for shards
+  bool whole = false;             // answered: it is marked so
+  std::span<const int> shards{};  // asked: of its parts; answered: that are in
+  std::string_view text{};        // as in the record, but for shards
 };
 
 }  // namespace yoketurn::days
--- a/src/days/record.hpp
+++ b/src/days/record.hpp
@@ -38,10 +38,10 @@
   double at = 0;
   Kind kind = Kind::asked;
   int router = -1, node = -1;
-  std::string id;
+  std::string id{};
   int vertical = -1, shard = -1, number = 0;
   double value = 0;
-  std::string text;
+  std::string text{};
 };
 
 using Record = std::vector<Event>;
--- a/src/emulator/town.cpp
+++ b/src/emulator/town.cpp
@@ -76,7 +76,7 @@
     flights_.let_go(part);
   };
   told_.fell = [this](int node, double capacity) {
-    note({engine_.now(), Kind::node, -1, node, -1, -1, -1, -1, 0, capacity, false, {}, "fell"});
+    note({.at = engine_.now(), .kind = Kind::node, .node = node, .value = capacity, .text = "fell"});
   };
   for (std::size_t n = 0; n < site_of_node_.size(); ++n)
     machines_.push_back(std::make_unique<Machine>(engine_, day_, static_cast<int>(n), told_));
@@ -167,19 +167,14 @@
 }
 
 void Town::note_part(Kind kind, const Flight& flight, std::string_view text) {
-  note({engine_.now(),
-        kind,
-        flight.router,
-        flight.node,
-        flight.of,
-        -1,
-        -1,
-        flight.shard,
-        1,
-        0,
-        false,
-        {},
-        text});
+  note({.at = engine_.now(),
+        .kind = kind,
+        .router = flight.router,
+        .node = flight.node,
+        .query = flight.of,
+        .shard = flight.shard,
+        .number = 1,
+        .text = text});
 }
 
 // --- routers
@@ -229,8 +224,16 @@
     if (at == tries_.end()) return;  // its client has left
     const auto& of = at->second;
     shards_ = shards;
-    note({engine_.now(), Kind::answered, of.router, -1, request, of.ask, of.vertical, -1, status, retry_after,
-          whole, shards_, ""});
+    note({.at = engine_.now(),
+          .kind = Kind::answered,
+          .router = of.router,
+          .query = request,
+          .ask = of.ask,
+          .vertical = of.vertical,
+          .number = status,
+          .value = retry_after,
+          .whole = whole,
+          .shards = shards_});
     close(request, status, retry_after);
   });
 }
@@ -247,13 +250,13 @@
   const auto text = fmt::format("name={} state={} before={} bad={} evidence={:.1f}", day_.sites[site].name,
                                 kStates[static_cast<std::size_t>(news.now)],
                                 kStates[static_cast<std::size_t>(news.before)], news.bad, news.evidence);
-  note({engine_.now(), Kind::site, process.number(), -1, -1, -1, -1, -1, 0, 0, false, {}, text});
+  note({.at = engine_.now(), .kind = Kind::site, .router = process.number(), .text = text});
 }
 
 void Town::start(int router) {
   auto& process = *processes_[static_cast<std::size_t>(router)];
   if (process.alive()) return;
-  note({engine_.now(), Kind::process, router, -1, -1, -1, -1, -1, 0, 0, false, {}, "started"});
+  note({.at = engine_.now(), .kind = Kind::process, .router = router, .text = "started"});
   process.start();
   // What its agent holds counts as told.
   if (!agents_[static_cast<std::size_t>(router)].held) tell_all(router);
@@ -262,25 +265,18 @@
 void Town::tell_all(int router) {
   for (std::size_t n = 0; n < entries_.size(); ++n)
     if (entries_[n].changed)
-      note({engine_.now(),
-            Kind::told,
-            router,
-            static_cast<int>(n),
-            -1,
-            -1,
-            -1,
-            -1,
-            version_,
-            0,
-            false,
-            {},
-            entries_[n].state});
+      note({.at = engine_.now(),
+            .kind = Kind::told,
+            .router = router,
+            .node = static_cast<int>(n),
+            .number = version_,
+            .text = entries_[n].state});
 }
 
 void Town::end(int router, const char* how) {
   auto& process = *processes_[static_cast<std::size_t>(router)];
   if (!process.alive()) return;
-  note({engine_.now(), Kind::process, router, -1, -1, -1, -1, -1, 9, 0, false, {}, how});
+  note({.at = engine_.now(), .kind = Kind::process, .router = router, .number = 9, .text = how});
   if (std::string_view(how) == "told to end") return process.term();
   const auto life = process.life();
   process.kill();
@@ -297,19 +293,14 @@
   std::sort(broken.begin(), broken.end());
   for (const auto id : broken) {
     const auto& of = tries_.at(id);
-    note({engine_.now(),
-          Kind::unanswered,
-          router,
-          -1,
-          id,
-          of.ask,
-          of.vertical,
-          -1,
-          of.tried,
-          0,
-          false,
-          {},
-          "broken"});
+    note({.at = engine_.now(),
+          .kind = Kind::unanswered,
+          .router = router,
+          .query = id,
+          .ask = of.ask,
+          .vertical = of.vertical,
+          .number = of.tried,
+          .text = "broken"});
     close(id, 0, 0);
   }
 }
@@ -370,19 +361,12 @@
       auto& agent = agents_[r];
       if (agent.held || agent.silent) continue;
       agent.told = version;
-      note({engine_.now(),
-            Kind::told,
-            static_cast<int>(r),
-            node,
-            -1,
-            -1,
-            -1,
-            -1,
-            version,
-            0,
-            false,
-            {},
-            entry.state});
+      note({.at = engine_.now(),
+            .kind = Kind::told,
+            .router = static_cast<int>(r),
+            .node = node,
+            .number = version,
+            .text = entry.state});
       engine_.after(kAgent, [this, r, fresh] { processes_[r]->told(fresh, false); });
     }
   });
@@ -432,19 +416,14 @@
   auto& of = tries_[id];
   of = {question.ask, question.vertical, question.site, tried, router, 0, question.began, question.first};
   const auto fail = [&](const char* why) {
-    note({engine_.now(),
-          Kind::unanswered,
-          router,
-          -1,
-          id,
-          question.ask,
-          question.vertical,
-          -1,
-          tried,
-          0,
-          false,
-          {},
-          why});
+    note({.at = engine_.now(),
+          .kind = Kind::unanswered,
+          .router = router,
+          .query = id,
+          .ask = question.ask,
+          .vertical = question.vertical,
+          .number = tried,
+          .text = why});
     close(id, 0, 0);
   };
   if (router < 0) return fail("no router");
@@ -458,8 +437,15 @@
     const auto parts = day_.verticals[static_cast<std::size_t>(asks.vertical)].parts;
     shards_.clear();
     for (int i = 0; i < parts; ++i) shards_.push_back((asks.first + i) % day_.shards);
-    note({engine_.now(), Kind::asked, asks.router, -1, id, asks.ask, asks.vertical, -1, asks.tried, left,
-          false, shards_, ""});
+    note({.at = engine_.now(),
+          .kind = Kind::asked,
+          .router = asks.router,
+          .query = id,
+          .ask = asks.ask,
+          .vertical = asks.vertical,
+          .number = asks.tried,
+          .value = left,
+          .shards = shards_});
     const auto work = day_.service * relative_work_[static_cast<std::size_t>(asks.vertical)];
     processes_[static_cast<std::size_t>(asks.router)]->ask(
         {id, asks.ask, asks.vertical, left, shards_, day_.hints ? work : 0});
@@ -468,19 +454,14 @@
     const auto at = tries_.find(id);
     if (at == tries_.end()) return;
     const auto asks = at->second;
-    note({engine_.now(),
-          Kind::unanswered,
-          asks.router,
-          -1,
-          id,
-          asks.ask,
-          asks.vertical,
-          -1,
-          asks.tried,
-          0,
-          false,
-          {},
-          "late"});
+    note({.at = engine_.now(),
+          .kind = Kind::unanswered,
+          .router = asks.router,
+          .query = id,
+          .ask = asks.ask,
+          .vertical = asks.vertical,
+          .number = asks.tried,
+          .text = "late"});
     close(id, 0, 0);
     processes_[static_cast<std::size_t>(asks.router)]->gone(id);
   });
@@ -508,11 +489,11 @@
   if (over_) return;
   const auto& fault = day_.faults[f];
   active_[f] = true;
-  note({engine_.now(), Kind::fault, -1, -1, -1, -1, -1, -1, 1, 0, false, {}, fault.what + " " + fault.of});
+  note({.at = engine_.now(), .kind = Kind::fault, .number = 1, .text = fault.what + " " + fault.of});
   const auto routers = routers_of(day_, fault.of);
   const auto nodes = nodes_of(day_, fault.of);
   const auto node_is = [&](int n, const char* what) {
-    note({engine_.now(), Kind::node, -1, n, -1, -1, -1, -1, 0, 0, false, {}, what});
+    note({.at = engine_.now(), .kind = Kind::node, .node = n, .text = what});
   };
   if (fault.what == "lose") {
     for (const auto n : nodes) {
@@ -533,7 +514,7 @@
   if (fault.what == "pause")
     for (const auto r : routers) {
       processes_[static_cast<std::size_t>(r)]->stop();
-      note({engine_.now(), Kind::process, r, -1, -1, -1, -1, -1, 0, 0, false, {}, "stopped"});
+      note({.at = engine_.now(), .kind = Kind::process, .router = r, .text = "stopped"});
     }
   if (fault.what == "slow")
     for (const auto n : nodes) machines_[static_cast<std::size_t>(n)]->slow = fault.amount;
@@ -575,11 +556,11 @@
   if (!active_[f] || over_) return;
   const auto& fault = day_.faults[f];
   active_[f] = false;
-  note({engine_.now(), Kind::fault, -1, -1, -1, -1, -1, -1, 0, 0, false, {}, fault.what + " " + fault.of});
+  note({.at = engine_.now(), .kind = Kind::fault, .text = fault.what + " " + fault.of});
   const auto routers = routers_of(day_, fault.of);
   const auto nodes = nodes_of(day_, fault.of);
   const auto node_is = [&](int n, double capacity, const char* what) {
-    note({engine_.now(), Kind::node, -1, n, -1, -1, -1, -1, 0, capacity, false, {}, what});
+    note({.at = engine_.now(), .kind = Kind::node, .node = n, .value = capacity, .text = what});
   };
   if (fault.what == "lose") {
     std::vector<bool> back(machines_.size());
@@ -602,7 +583,7 @@
     }
   if (fault.what == "pause")
     for (const auto r : routers) {
-      note({engine_.now(), Kind::process, r, -1, -1, -1, -1, -1, 0, 0, false, {}, "resumed"});
+      note({.at = engine_.now(), .kind = Kind::process, .router = r, .text = "resumed"});
       processes_[static_cast<std::size_t>(r)]->resume();
     }
   if (fault.what == "slow")
