--- a/src/datanodes/pool.cpp
+++ b/src/datanodes/pool.cpp
@@ -7,8 +7,8 @@
 namespace yoketurn {
 
 namespace {
-// In fleets of more nodes none is connected to ahead of a part: most connections would rest unused, while each
-// costs both ends a descriptor.
+// In fleets of more nodes none is connected to ahead of a part: most connections would rest unused, while
+// each costs both ends a descriptor.
 constexpr std::size_t kMostNodesAhead = 512;
 }  // namespace
 
