Connections are opened ahead in fleets of any size, as before: the bound of 512 nodes did nothing

Ruled out: counting the list first, so that the bound acts: a first part on a fresh connection can't be taken back while the node's handshake holds it.

--- a/src/datanodes/pool.cpp
+++ b/src/datanodes/pool.cpp
@@ -6,12 +6,6 @@
 
 namespace yoketurn {
 
-namespace {
-// In fleets of more nodes none is connected to ahead of a part: most connections would rest unused, while
-// each costs both ends a descriptor.
-constexpr std::size_t kMostNodesAhead = 512;
-}  // namespace
-
 Pool::Pool(boost::asio::io_context& context, DueTimes& due, const NodeConnection::Limits& limits,
            std::size_t most_connections, Log& log, Listener& listener)
     : context_(context),
@@ -35,7 +29,7 @@
   known.at = at;
   known.born = born;
   leave(node);  // what is open leads to a process that is no more
-  if (up && nodes_.size() <= kMostNodesAhead) open_ahead(node);
+  if (up) open_ahead(node);
 }
 
 // A new connection keeps its first part for as long as its handshake takes, and no giving up can overtake
