--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -391,6 +391,7 @@
     }
     return false;
   }
+  pid_t pid() const { return pid_; }
   bool running() {
     if (pid_ <= 0) return false;
     int status = 0;
