Review: clients of a dead router are reset unread by the survivors

From a quarter of the descriptors on, each accept ends a waiting connection; where all that wait have an unread request, one of those.

--- a/review/1/driver.cpp
+++ b/review/1/driver.cpp
@@ -1,70 +1,129 @@
-// Queries whose parts have long values: every answer of 200 must hold the value of each part as a data node gave it.
+// Three query routers behind a front. One is killed; its 22 clients try again after the same short wait, and come to the two
+// survivors, which have 63 clients each at work. Clients hold under a third of a router's descriptors all the time. Each request
+// that a survivor's machine has taken has to get its final answer.
 #include "../standin/standin.hpp"
 
 using namespace standin;
 
 namespace {
 
-constexpr int kQueries = 40;
-constexpr int kLotServers = 10;
-constexpr int kStockShards = 20;               // two begin at each lot server; a `stock-sweep` needs them all
-constexpr std::size_t kLongValue = 3400;       // 20 of them are 68,000 bytes, a little over 64 KiB
-constexpr std::size_t kShortValue = 16;
+constexpr int kSockets = 256;            // of each router
+constexpr int kSurvivors = 2;
+constexpr int kClientsOfSurvivor = 63;   // of each
+constexpr int kClientsOfOther = 22;      // 85 with those of one survivor; a third of 256 is 85
+constexpr double kNodeSeconds = 0.6;     // until a part is answered
+constexpr int kRemainingMs = 6000;
+constexpr double kLateSeconds = 0.55;    // half a second after its time, and the 50 ms of sockets
+constexpr double kRampSeconds = 6;       // in which the clients begin, one after another
+constexpr double kThinkSeconds = 0.02;   // from an answer to the next request
+constexpr double kBackSeconds = 0.5;     // from a refusal, or from no answer, to the next request
+constexpr double kRetrySeconds = 0.1;    // from the end of a connection to the killed router to the retry
+constexpr double kNoticeSeconds = 1.6;   // until the front notices that a router has died
+constexpr double kKillAt = 10;
+constexpr double kLengthSeconds = 16;
 
-// The settings of quimper-vert at its smallest size.
-const char* const kQuimperVert = R"({
-  "balancers": 3, "resolution_us": 5000, "zone": "ergue", "zones": ["ergue", "kerfeunteun", "penhars"], "worth_by": "request",
-  "discovery": "push", "customers": [], "over_share_worth": 0.1,
-  "bounds": {"cancel": true, "max_attempts": 3, "may_duplicate": true, "retry_after": true, "max_retry_after_us": 500000,
-    "max_open": 400, "streams_per_conn": 100, "connect_timeout_us": 250000, "conn_idle_us": 15000000, "probes": true,
-    "peer_messages": false},
-  "classes": [
-    {"name": "stock-sweep", "semantics": "safe", "aim_us": 2000000, "deadline_us": 4000000, "credit": 3.0, "late_worth": 0.0, "window_us": 5000000},
-    {"name": "lot-lookup", "semantics": "safe", "aim_us": 2000000, "deadline_us": 4000000, "credit": 1.0, "late_worth": 0.1, "window_us": 5000000}],
-  "contract": {"answer_slack_us": 50000, "cold_us": 16000000, "fall_multiple": 2.0, "overload_for_us": 3000000,
-    "start_capacity": 0.22, "drain_grace_us": 1000000},
-  "domain": {"places": 10, "span": 3, "slices": 20, "parts_a_call": 4, "min_share": [0.7, 1.0],
-    "whole_at": [1.0, 1.0], "partial_earns": [0.9, 0.9], "second_step": [0, 0]}
-})";
+struct Counts {
+  std::atomic<int> asked = 0, served = 0, other = 0, again = 0, lost = 0, with_killed = 0;
+};
 
-// The value made for one part of one query: its id, repeated up to the size.
-std::string value_of(const std::string& part, std::size_t size) {
-  std::string value;
-  while (value.size() < size) value += part + "|";
-  value.resize(size);
-  return value;
-}
+// Spreads connections over the routers in turn; goes on with a dead one until it notices.
+struct Front {
+  std::vector<RouterProcess*> routers;  // the last one is killed
+  std::atomic<double> killed_at = 1e9;
+  std::atomic<unsigned> turn = 0;
+  RouterProcess* killed() { return routers.back(); }
+  RouterProcess* pick() {
+    const auto size = static_cast<unsigned>(routers.size());
+    return routers[turn++ % (now() > killed_at + kNoticeSeconds ? size - 1 : size)];
+  }
+};
 
-const char* const kNotIn = "?";
+// Keeps its connection, has one request at a time on it, and sends a request once more on a new connection if the router has
+// closed without an answer.
+class Client {
+ public:
+  Client(int number, RouterProcess* router, Front& front, Record& record, Counts& counts)
+      : number_(number), router_(router), front_(front), record_(record), counts_(counts) {}
 
-// The text of the field "value" of the entry of this shard; kNotIn if the answer has no such entry.
-std::string value_in(const std::string& body, int shard) {
-  const auto entry = body.find("\"partition\":" + std::to_string(shard) + ",");
-  if (entry == std::string::npos) return kNotIn;
-  const auto begin = body.find("\"value\":\"", entry);
-  if (begin == std::string::npos) return kNotIn;
-  const auto from = begin + 9;
-  return body.substr(from, body.find('"', from) - from);
-}
+  void ask() {
+    char txn[40];
+    std::snprintf(txn, sizeof txn, "9b1f03aa%02x7e%04x", number_, ++asked_);
+    const auto request =
+        post("recherche", txn, kRemainingMs, query_body((number_ + 4 * asked_) % kShards, 4, "c41e77d0"));
+    ++counts_.asked;
+    const auto sent = now();
+    const auto until = sent + kRemainingMs / 1e3 + kLateSeconds;
+    std::string history;
+    for (int i = 0; i < 2; ++i) {
+      const bool fresh = fd_ < 0;
+      while (fd_ < 0 && now() < until) open();
+      const auto written = fd_ >= 0 && write_all(fd_, request);
+      record_.line("client %d sends %s to %s, on a %s connection", number_, txn, router_->name().c_str(),
+                   fresh ? "new" : "kept");
+      const auto answer = written ? read_answer(fd_, buffer_, until) : Answer{};
+      const auto ended = now();
+      if (answer.status != 0) record_.line("client %d got %d to %s", number_, answer.status, txn);
+      if (answer.status == 200) return ++counts_.served, sleep_for(kThinkSeconds);
+      if (answer.status != 0) {
+        if (answer.closes) close();
+        return ++counts_.other, sleep_for(kBackSeconds);
+      }
+      close();
+      if (router_ == front_.killed()) {
+        record_.line("client %d: %s ended with the killed router", number_, txn);
+        return ++counts_.with_killed, sleep_for(kRetrySeconds);
+      }
+      char line[120];
+      std::snprintf(line, sizeof line, "; %s connection closed with no answer after %.4f s", fresh ? "new" : "kept",
+                    ended - sent);
+      history += line;
+      if (ended >= until) break;
+      if (i == 0) ++counts_.again;
+    }
+    ++counts_.lost;
+    record_.line("LOST: client %d, %s%s", number_, txn, history.c_str());
+    sleep_for(kBackSeconds);
+  }
+  void close() {
+    if (fd_ >= 0) ::close(fd_);
+    fd_ = -1;
+    buffer_.clear();
+  }
+
+ private:
+  // A connection by the front; one to a dead router is refused, and the client waits before it tries again.
+  void open() {
+    if (front_.killed_at < 1e9) router_ = front_.pick();
+    fd_ = connect_to(router_->port());
+    if (fd_ < 0) sleep_for(kRetrySeconds);
+  }
+
+  int number_;
+  RouterProcess* router_;
+  Front& front_;
+  Record& record_;
+  Counts& counts_;
+  int fd_ = -1, asked_ = 0;
+  std::string buffer_;
+};
 
 int run(const Arguments& given) {
   Record record(given.record.c_str());
-  const auto size = given.trouble ? kLongValue : kShortValue;
+  std::atomic<int> parts = 0;
   std::vector<std::unique_ptr<DataNode>> nodes;
   std::vector<std::string> entries;
-  const char* const zones[] = {"ergue", "kerfeunteun", "penhars"};
-  for (int i = 0; i < kLotServers; ++i) {
+  for (int i = 0; i < kNodes; ++i) {
     nodes.push_back(std::make_unique<DataNode>());
-    nodes.back()->on_part = [&record, size, i](const Part& part, std::shared_ptr<NodeSession> session) {
-      record.line("node s-%d runs %s", i, part.id.c_str());
-      std::thread([&record, size, i, part, session] {
-        sleep_for(0.005);
-        session->answer(part.id, "done", 1000 + part.shard, value_of(part.id, size));
-        record.line("node s-%d answers %s done, value of %zu bytes", i, part.id.c_str(), size);
+    nodes.back()->on_part = [&, i](const Part& part, std::shared_ptr<NodeSession> session) {
+      ++parts;
+      record.line("s-%d runs %s", i, part.id.c_str());
+      std::thread([part, session] {
+        sleep_for(kNodeSeconds);
+        session->answer(part.id, "done", 1000 + part.shard, part.id + "@" + part.text);
       }).detach();
     };
     nodes.back()->start();
-    entries.push_back(entry("s-" + std::to_string(i), nodes.back()->address(), i, "ready", zones[i % 3]));
+    entries.push_back(entry("s-" + std::to_string(i), nodes.back()->address(), i, "ready", zone_of(i)));
   }
   const auto list = list_of(1, true, entries);
   Agent agent;
@@ -72,62 +131,47 @@
     if (write_all(fd, kWatchHead) && write_all(fd, chunk(list + "\n"))) heartbeats(fd);
   };
   agent.start();
-  RouterProcess router(given.root, given.run, given.folder, "n0");
-  router.configure(agent.port(), list, kQuimperVert);
-  router.start();
-  if (!router.ready(20)) return record.line("the router is not ready"), 2;
+  std::vector<std::unique_ptr<RouterProcess>> routers;
+  Front front;
+  for (int i = 0; i <= kSurvivors; ++i) {
+    routers.push_back(std::make_unique<RouterProcess>(given.root, given.run, given.folder, "n" + std::to_string(i)));
+    routers.back()->configure(agent.port(), list, kArmorCafe, kSockets);
+    routers.back()->start();
+    front.routers.push_back(routers.back().get());
+  }
+  for (const auto& router : routers)
+    if (!router->ready(20)) return record.line("%s is not ready", router->name().c_str()), 2;
+  record.line("%zu routers are ready, %d descriptors each", routers.size(), kSockets);
 
-  int served = 0, other = 0, wrong = 0, none = 0;
-  const int fd = connect_to(router.port());
-  if (fd < 0) return 2;
-  std::string buffer;
-  int client = fd;
-  for (int i = 0; i < kQueries; ++i) {
-    char txn[40];
-    std::snprintf(txn, sizeof txn, "9b1f03aa5c7e%04x", i);
-    const auto body = query_body(0, kStockShards, "c41e77d0");
-    if (client < 0) client = connect_to(router.port());
-    record.line("client sends %s, 20 parts", txn);
-    write_all(client, post("stock-sweep", txn, 4000, body));
-    const auto answer = read_answer(client, buffer, now() + 5);
-    if (answer.status == 0) {
-      record.line("client got no answer to %s", txn);
-      ++none;
-    } else if (answer.status != 200) {
-      record.line("client got %d to %s", answer.status, txn);
-      ++other;
-    } else {
-      ++served;
-      bool right = true;
-      const bool whole = answer.body.find("\"whole\":true") != std::string::npos;
-      for (int shard = 0; shard < kStockShards; ++shard) {
-        const auto got = value_in(answer.body, shard);
-        const auto made = value_of(std::string(txn) + "." + std::to_string(shard), size);
-        if (got == made) continue;
-        if (got == kNotIn && !whole) continue;  // an answer in part may leave it out
-        right = false;
-        record.line("WRONG: 200 to %s, %.13s, has a value of %zu bytes for shard %d; the data node gave %zu bytes", txn,
-                    answer.body.c_str(), got.size(), shard, made.size());
-      }
-      if (right) record.line("client got 200 to %s, all values right", txn);
-      wrong += !right;
-    }
-    // The router closes after some errors: the next request goes on a new connection.
-    if (answer.status != 200) {
-      ::close(client);
-      client = -1;
-      buffer.clear();
-    }
-    sleep_for(0.02);
+  Counts counts;
+  const auto began = now();
+  std::vector<std::thread> clients;
+  constexpr int kClients = kSurvivors * kClientsOfSurvivor + kClientsOfOther;
+  for (int i = 0; i < kClients; ++i)
+    clients.emplace_back([&, i] {
+      const auto router = static_cast<std::size_t>(std::min(i / kClientsOfSurvivor, kSurvivors));
+      Client client(i, front.routers[router], front, record, counts);
+      sleep_until(began + kRampSeconds * i / kClients);
+      while (now() < began + kLengthSeconds) client.ask();
+      client.close();
+    });
+  if (given.trouble) {
+    sleep_until(began + kKillAt);
+    record.line("router %s is killed", front.killed()->name().c_str());
+    front.killed_at = now();
+    front.killed()->signal(SIGKILL);
   }
-  if (client >= 0) ::close(client);
-  const bool alive = router.running();
-  record.line("served %d, of them wrong %d; other answers %d; none %d; router %s", served, wrong, other, none,
-              alive ? "runs" : "has ended");
-  std::printf("served %d, of them wrong %d; other answers %d; none %d\n", served, wrong, other, none);
-  if (!alive) return 2;
-  if (!given.trouble && served == 0) return 2;
-  return wrong > 0 ? 1 : 0;
+  for (auto& client : clients) client.join();
+  bool alive = true;
+  for (int i = 0; i < kSurvivors; ++i) alive = routers[static_cast<std::size_t>(i)]->running() && alive;
+  record.line("asked %d: served %d, other answers %d, lost %d, ended with the killed router %d; sent once more %d; %d parts run; the survivors %s",
+              counts.asked.load(), counts.served.load(), counts.other.load(), counts.lost.load(), counts.with_killed.load(),
+              counts.again.load(), parts.load(), alive ? "run" : "have ended");
+  std::printf("asked %d: served %d, other answers %d, lost %d, ended with the killed router %d; sent once more %d\n",
+              counts.asked.load(), counts.served.load(), counts.other.load(), counts.lost.load(), counts.with_killed.load(),
+              counts.again.load());
+  if (!alive || counts.served == 0) return 2;
+  return counts.lost > 0 ? 1 : 0;
 }
 
 }  // namespace
--- /dev/null
+++ b/review/parked/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec "$(dirname "$0")/../standin/run.sh" 3
--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -308,6 +308,7 @@
   int status = 0;  // 0: none came
   std::string body;
   double at = 0;  // of the last byte
+  bool closes = false;  // it says Connection: close
 };
 // Reads one answer with a length. `buffer` keeps what belongs to the next.
 inline Answer read_answer(int fd, std::string& buffer, double until) {
@@ -322,6 +323,8 @@
         answer.status = std::atoi(buffer.c_str() + 9);
         answer.body = buffer.substr(end + 4, length);
         answer.at = now();
+        const auto closes = buffer.find("Connection: close");
+        answer.closes = closes != std::string::npos && closes < end;
         buffer.erase(0, end + 4 + length);
         return answer;
       }
@@ -348,6 +351,7 @@
   ~RouterProcess() { kill(SIGKILL); }
   std::uint16_t port() const { return listen_; }
   const std::string& log() const { return log_; }
+  const std::string& name() const { return name_; }
   // Writes the configuration whole, by a rename.
   void configure(std::uint16_t discovery, const std::string& known, const std::string& settings, int sockets = 512,
                  int memory_mb = 128) {
