Review: a keyed part's repeat leaves after its window when its frame was cut off

A frame that a full socket has cut off is not withdrawn while another call is out on its connection; its rest leaves whenever the node reads again.

--- a/review/1/driver.cpp
+++ b/review/1/driver.cpp
@@ -1,129 +1,87 @@
-// Three query routers behind a front. One is killed; its 22 clients try again after the same short wait, and come to the two
-// survivors, which have 63 clients each at work. Clients hold under a third of a router's descriptors all the time. Each request
-// that a survivor's machine has taken has to get its final answer.
+// A keyed part runs at one data node, whose connection is reset under it. Its repeat goes to a node that has just fallen silent,
+// for 6 s, and to which the socket is nearly full. The repeat must not reach that node after the window for repeats.
 #include "../standin/standin.hpp"
 
 using namespace standin;
 
 namespace {
 
-constexpr int kSockets = 256;            // of each router
-constexpr int kSurvivors = 2;
-constexpr int kClientsOfSurvivor = 63;   // of each
-constexpr int kClientsOfOther = 22;      // 85 with those of one survivor; a third of 256 is 85
-constexpr double kNodeSeconds = 0.6;     // until a part is answered
-constexpr int kRemainingMs = 6000;
-constexpr double kLateSeconds = 0.55;    // half a second after its time, and the 50 ms of sockets
-constexpr double kRampSeconds = 6;       // in which the clients begin, one after another
-constexpr double kThinkSeconds = 0.02;   // from an answer to the next request
-constexpr double kBackSeconds = 0.5;     // from a refusal, or from no answer, to the next request
-constexpr double kRetrySeconds = 0.1;    // from the end of a connection to the killed router to the retry
-constexpr double kNoticeSeconds = 1.6;   // until the front notices that a router has died
-constexpr double kKillAt = 10;
-constexpr double kLengthSeconds = 16;
+constexpr int kMaxSegment = 1460;        // as on an Ethernet
+constexpr int kReceiveBuffer = 8 * 1024;
+constexpr std::size_t kText = 60 * 1024;        // of the keyed part; a body holds at most 64 KiB
+constexpr double kWindowSeconds = 5;     // of modif-commande
+constexpr double kSlackSeconds = 0.05;
+constexpr double kSilentSeconds = 6;
+constexpr double kUsualSeconds = 0.15;   // of a part
+constexpr int kReset = 0, kSilent = 1;
+// So many parts has the silent node got before, in one round each until the rule is broken: with how many of them the socket
+// fills up in the midst of the next frame depends on the kernel.
+constexpr int kFillers[] = {3, 3, 4, 3, 3, 4, 3, 3};
+bool drains(int node) { return node == 2 || node == 3; }
 
-struct Counts {
-  std::atomic<int> asked = 0, served = 0, other = 0, again = 0, lost = 0, with_killed = 0;
-};
-
-// Spreads connections over the routers in turn; goes on with a dead one until it notices.
-struct Front {
-  std::vector<RouterProcess*> routers;  // the last one is killed
-  std::atomic<double> killed_at = 1e9;
-  std::atomic<unsigned> turn = 0;
-  RouterProcess* killed() { return routers.back(); }
-  RouterProcess* pick() {
-    const auto size = static_cast<unsigned>(routers.size());
-    return routers[turn++ % (now() > killed_at + kNoticeSeconds ? size - 1 : size)];
-  }
-};
-
-// Keeps its connection, has one request at a time on it, and sends a request once more on a new connection if the router has
-// closed without an answer.
-class Client {
- public:
-  Client(int number, RouterProcess* router, Front& front, Record& record, Counts& counts)
-      : number_(number), router_(router), front_(front), record_(record), counts_(counts) {}
-
-  void ask() {
-    char txn[40];
-    std::snprintf(txn, sizeof txn, "9b1f03aa%02x7e%04x", number_, ++asked_);
-    const auto request =
-        post("recherche", txn, kRemainingMs, query_body((number_ + 4 * asked_) % kShards, 4, "c41e77d0"));
-    ++counts_.asked;
-    const auto sent = now();
-    const auto until = sent + kRemainingMs / 1e3 + kLateSeconds;
-    std::string history;
-    for (int i = 0; i < 2; ++i) {
-      const bool fresh = fd_ < 0;
-      while (fd_ < 0 && now() < until) open();
-      const auto written = fd_ >= 0 && write_all(fd_, request);
-      record_.line("client %d sends %s to %s, on a %s connection", number_, txn, router_->name().c_str(),
-                   fresh ? "new" : "kept");
-      const auto answer = written ? read_answer(fd_, buffer_, until) : Answer{};
-      const auto ended = now();
-      if (answer.status != 0) record_.line("client %d got %d to %s", number_, answer.status, txn);
-      if (answer.status == 200) return ++counts_.served, sleep_for(kThinkSeconds);
-      if (answer.status != 0) {
-        if (answer.closes) close();
-        return ++counts_.other, sleep_for(kBackSeconds);
-      }
-      close();
-      if (router_ == front_.killed()) {
-        record_.line("client %d: %s ended with the killed router", number_, txn);
-        return ++counts_.with_killed, sleep_for(kRetrySeconds);
-      }
-      char line[120];
-      std::snprintf(line, sizeof line, "; %s connection closed with no answer after %.4f s", fresh ? "new" : "kept",
-                    ended - sent);
-      history += line;
-      if (ended >= until) break;
-      if (i == 0) ++counts_.again;
-    }
-    ++counts_.lost;
-    record_.line("LOST: client %d, %s%s", number_, txn, history.c_str());
-    sleep_for(kBackSeconds);
-  }
-  void close() {
-    if (fd_ >= 0) ::close(fd_);
-    fd_ = -1;
-    buffer_.clear();
-  }
-
- private:
-  // A connection by the front; one to a dead router is refused, and the client waits before it tries again.
-  void open() {
-    if (front_.killed_at < 1e9) router_ = front_.pick();
-    fd_ = connect_to(router_->port());
-    if (fd_ < 0) sleep_for(kRetrySeconds);
-  }
-
-  int number_;
-  RouterProcess* router_;
-  Front& front_;
-  Record& record_;
-  Counts& counts_;
-  int fd_ = -1, asked_ = 0;
-  std::string buffer_;
-};
+// armor-cafe's settings, with another effect for one class: `recherche` must not be repeated.
+std::string settings() {
+  std::string text = kArmorCafe;
+  const std::string safe = "\"recherche\", \"semantics\": \"safe\"";
+  text.replace(text.find(safe), safe.size(), "\"recherche\", \"semantics\": \"unsafe\"");
+  return text;
+}
 
 int run(const Arguments& given) {
   Record record(given.record.c_str());
-  std::atomic<int> parts = 0;
+  std::mutex mutex;
+  std::map<std::string, double> first_run, last_effect;  // by key and shard
+  std::map<std::string, int> effects;
+  std::map<NodeSession*, std::uint64_t> handed_over;  // by connection of the silent node, when it came back
+  int late = 0;
+  std::atomic<bool> trouble = false;
   std::vector<std::unique_ptr<DataNode>> nodes;
   std::vector<std::string> entries;
   for (int i = 0; i < kNodes; ++i) {
-    nodes.push_back(std::make_unique<DataNode>());
+    nodes.push_back(std::make_unique<DataNode>(kMaxSegment, kReceiveBuffer));
+    nodes.back()->on_cancel = [&record, i](const std::string& id) { record.line("s-%d reads C %s", i, id.c_str()); };
     nodes.back()->on_part = [&, i](const Part& part, std::shared_ptr<NodeSession> session) {
-      ++parts;
-      record.line("s-%d runs %s", i, part.id.c_str());
-      std::thread([part, session] {
-        sleep_for(kNodeSeconds);
-        session->answer(part.id, "done", 1000 + part.shard, part.id + "@" + part.text);
+      const auto at = part.list.find(",k=");
+      const auto key = at == std::string::npos ? "" : part.list.substr(at + 3) + "." + std::to_string(part.shard);
+      std::string what = "runs";
+      if (!key.empty()) {
+        const std::lock_guard lock(mutex);
+        if (const auto first = first_run.find(key); first == first_run.end()) {
+          first_run[key] = part.read_at;
+        } else if (part.read_at > first->second + kWindowSeconds + kSlackSeconds) {
+          // Counted only if the router's process itself still had a part of the frame after the window.
+          const auto before = handed_over.find(session.get());
+          const bool by_router = before != handed_over.end() && part.frame_end > before->second;
+          late += by_router;
+          what = by_router ? "AFTER THE WINDOW, runs" : "after the window, but out of the router before, runs";
+          if (before != handed_over.end())
+            record.line("the frame of %s ends at byte %llu of its connection; when s-%d came back, the router had written %llu",
+                        part.id.c_str(), static_cast<unsigned long long>(part.frame_end), i,
+                        static_cast<unsigned long long>(before->second));
+        }
+        // Any holder drops a repeat within the window, as it knows the key.
+        if (const auto last = last_effect.find(key);
+            last != last_effect.end() && part.read_at <= last->second + kWindowSeconds) {
+          what = "drops the repeat";
+        } else {
+          last_effect[key] = part.read_at;
+          what += ", effect " + std::to_string(++effects[key]) + " of " + key;
+        }
+      }
+      if (part.text.size() > 1000 || what != "runs")
+        record.line("s-%d %s: %s %d %s, %zu bytes", i, what.c_str(), part.id.c_str(), part.shard, part.list.c_str(), part.text.size());
+      if (trouble && i == kReset && !key.empty()) {
+        record.line("s-%d: the connection is reset under %s, its answer is lost", i, part.id.c_str());
+        return session->reset();
+      }
+      std::thread([&, i, part, session] {
+        sleep_for(kUsualSeconds);
+        if (part.text.size() > 1000) record.line("s-%d answers %s done", i, part.id.c_str());
+        session->answer(part.id, "done", 1000 + part.shard, part.id);
       }).detach();
     };
     nodes.back()->start();
-    entries.push_back(entry("s-" + std::to_string(i), nodes.back()->address(), i, "ready", zone_of(i)));
+    entries.push_back(entry("s-" + std::to_string(i), nodes.back()->address(), i, drains(i) ? "draining" : "ready", zone_of(i)));
   }
   const auto list = list_of(1, true, entries);
   Agent agent;
@@ -131,47 +89,74 @@
     if (write_all(fd, kWatchHead) && write_all(fd, chunk(list + "\n"))) heartbeats(fd);
   };
   agent.start();
-  std::vector<std::unique_ptr<RouterProcess>> routers;
-  Front front;
-  for (int i = 0; i <= kSurvivors; ++i) {
-    routers.push_back(std::make_unique<RouterProcess>(given.root, given.run, given.folder, "n" + std::to_string(i)));
-    routers.back()->configure(agent.port(), list, kArmorCafe, kSockets);
-    routers.back()->start();
-    front.routers.push_back(routers.back().get());
-  }
-  for (const auto& router : routers)
-    if (!router->ready(20)) return record.line("%s is not ready", router->name().c_str()), 2;
-  record.line("%zu routers are ready, %d descriptors each", routers.size(), kSockets);
-
-  Counts counts;
-  const auto began = now();
-  std::vector<std::thread> clients;
-  constexpr int kClients = kSurvivors * kClientsOfSurvivor + kClientsOfOther;
-  for (int i = 0; i < kClients; ++i)
-    clients.emplace_back([&, i] {
-      const auto router = static_cast<std::size_t>(std::min(i / kClientsOfSurvivor, kSurvivors));
-      Client client(i, front.routers[router], front, record, counts);
-      sleep_until(began + kRampSeconds * i / kClients);
-      while (now() < began + kLengthSeconds) client.ask();
-      client.close();
-    });
-  if (given.trouble) {
-    sleep_until(began + kKillAt);
-    record.line("router %s is killed", front.killed()->name().c_str());
-    front.killed_at = now();
-    front.killed()->signal(SIGKILL);
-  }
-  for (auto& client : clients) client.join();
+  std::atomic<int> served = 0, other = 0, none = 0;
+  const auto ask = [&](std::uint16_t port, const std::string& path, const std::string& txn, int remaining_ms, int shard, std::size_t size, bool keyed) {
+    const int fd = connect_to(port);
+    std::string buffer;
+    if (size > 1000) record.line("client sends %s to /%s, shard %d, %d ms", txn.c_str(), path.c_str(), shard, remaining_ms);
+    write_all(fd, post(path, txn, remaining_ms, query_body(shard, 1, std::string(size, 'q')),
+                       keyed ? "Idempotency-Key: key-" + txn + "\r\n" : ""));
+    const auto answer = read_answer(fd, buffer, now() + remaining_ms / 1e3 + 1);
+    if (size > 1000) record.line("client got %d to %s", answer.status, txn.c_str());
+    answer.status == 200 ? ++served : answer.status ? ++other : ++none;
+    ::close(fd);
+  };
   bool alive = true;
-  for (int i = 0; i < kSurvivors; ++i) alive = routers[static_cast<std::size_t>(i)]->running() && alive;
-  record.line("asked %d: served %d, other answers %d, lost %d, ended with the killed router %d; sent once more %d; %d parts run; the survivors %s",
-              counts.asked.load(), counts.served.load(), counts.other.load(), counts.lost.load(), counts.with_killed.load(),
-              counts.again.load(), parts.load(), alive ? "run" : "have ended");
-  std::printf("asked %d: served %d, other answers %d, lost %d, ended with the killed router %d; sent once more %d\n",
-              counts.asked.load(), counts.served.load(), counts.other.load(), counts.lost.load(), counts.with_killed.load(),
-              counts.again.load());
-  if (!alive || counts.served == 0) return 2;
-  return counts.lost > 0 ? 1 : 0;
+  int rounds = 0;
+  for (const int fillers : kFillers) {
+    {
+      const std::lock_guard lock(mutex);
+      if (late > 0) break;
+    }
+    // A new router each time: one that has seen the silence keeps away from that node for a while.
+    RouterProcess router(given.root, given.run, given.folder, "n" + std::to_string(rounds));
+    router.configure(agent.port(), list, settings());
+    router.start();
+    if (!router.ready(20)) return record.line("the router is not ready"), 2;
+    // Ordinary traffic, from which the router learns how long its nodes take.
+    std::vector<std::thread> warm;
+    for (int c = 0; c < 6; ++c)
+      warm.emplace_back([&, c] {
+        for (int i = 0; i < 25; ++i) ask(router.port(), "modif-commande", "w" + std::to_string(rounds) + "x" + std::to_string(c) + "x" + std::to_string(i), 5000, (5 * i + 4 * c) % kShards, 8, true);
+      });
+    for (auto& client : warm) client.join();
+    record.line("the router has served %d queries", served.load());
+    const auto name = [&](const char* kind) { return kind + std::to_string(rounds); };
+    const auto began = now();
+    trouble = given.trouble;
+    if (given.trouble) {
+      record.line("s-%d falls silent", kSilent);
+      nodes[kSilent]->silent = true;
+      sleep_for(0.01);
+    }
+    std::vector<std::thread> clients;
+    for (int i = 0; i < 2 * fillers; ++i) {  // at s-0 and s-1 by turns: the other holders of shard 0 drain
+      clients.emplace_back([&, i] { ask(router.port(), "recherche", name("filler") + "x" + std::to_string(i), 7400, 0, kText, false); });
+      sleep_for(0.002);
+    }
+    clients.emplace_back([&] { ask(router.port(), "modif-commande", name("change"), 5000, 0, kText, true); });
+    sleep_until(began + kSilentSeconds);
+    if (given.trouble) {
+      const std::lock_guard lock(mutex);
+      for (const auto& session : nodes[kSilent]->sessions()) handed_over[session.get()] = session->handed_over();
+      record.line("s-%d is back", kSilent);
+    }
+    nodes[kSilent]->silent = false;
+    trouble = false;
+    for (auto& client : clients) client.join();
+    sleep_for(0.5);
+    alive = router.running() && alive;
+    ++rounds;
+  }
+  const std::lock_guard lock(mutex);
+  int twice = 0;
+  for (const auto& [key, count] : effects) twice += count > 1;
+  record.line("%d rounds: keyed parts after their window %d, keys with two effects %d; served %d, other %d, none %d; router %s", rounds, late,
+              twice, served.load(), other.load(), none.load(), alive ? "runs" : "has ended");
+  std::printf("%d rounds: keyed parts after their window %d, keys with two effects %d; served %d, other %d, none %d\n", rounds, late, twice,
+              served.load(), other.load(), none.load());
+  if (!alive || served == 0) return 2;
+  return late > 0 ? 1 : 0;
 }
 
 }  // namespace
--- a/review/parked/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-exec "$(dirname "$0")/../standin/run.sh" 3
--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -80,10 +80,13 @@
   ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
   return ntohs(address.sin_port);
 }
-inline int listen_at(std::uint16_t port = 0) {
+// max_segment, receive_buffer: of the connections that are accepted, in bytes; 0: loopback's own.
+inline int listen_at(std::uint16_t port = 0, int max_segment = 0, int receive_buffer = 0) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (receive_buffer > 0) ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+  if (max_segment > 0) ::setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &max_segment, sizeof max_segment);
   auto address = loopback(port);
   if (::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 || ::listen(fd, 512) != 0)
     throw std::runtime_error("can't listen on loopback");
@@ -144,8 +147,26 @@
   std::string list;  // d=240,k=...
   std::string text;
   double read_at = 0;  // when the last byte of its frame was read
+  std::uint64_t frame_end = 0;  // bytes of the connection up to the end of its frame
 };
 
+// The bytes in the queues of the kernel for a connection on loopback: sent and not read (receive), not yet taken over by the
+// other side (send). Rows of /proc/net/tcp.
+struct KernelQueues {
+  std::uint64_t send = 0, receive = 0;
+};
+inline KernelQueues kernel_queues(std::uint16_t local, std::uint16_t remote) {
+  std::ifstream file("/proc/net/tcp");
+  std::string line;
+  while (std::getline(file, line)) {
+    unsigned from_address = 0, from = 0, to_address = 0, to = 0, state = 0, send = 0, receive = 0;
+    if (std::sscanf(line.c_str(), " %*d: %x:%x %x:%x %x %x:%x", &from_address, &from, &to_address, &to, &state, &send, &receive) == 7 &&
+        from == local && to == remote)
+      return {send, receive};
+  }
+  return {};
+}
+
 class NodeSession {
  public:
   explicit NodeSession(int fd) : fd_(fd) {}
@@ -163,9 +184,26 @@
     return write_all(fd_, bytes);
   }
   int fd() const { return fd_; }
+  std::atomic<std::uint64_t> read_bytes = 0;
+  // Bytes of this connection that the router's process has handed to the kernel so far, read by the node or not.
+  std::uint64_t handed_over() const {
+    sockaddr_in peer{};
+    socklen_t size = sizeof peer;
+    ::getpeername(fd_, reinterpret_cast<sockaddr*>(&peer), &size);
+    const auto own = port_of(fd_), other = ntohs(peer.sin_port);
+    return read_bytes + kernel_queues(own, other).receive + kernel_queues(other, own).send;
+  }
+  void reset() {
+    const linger now{1, 0};
+    ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    ::shutdown(fd_, SHUT_RD);
+    reset_ = true;
+  }
+  bool is_reset() const { return reset_; }
 
  private:
   int fd_;
+  std::atomic<bool> reset_ = false;
   std::mutex mutex_;
 };
 
@@ -174,7 +212,11 @@
   std::function<void(const Part&, std::shared_ptr<NodeSession>)> on_part;
   std::function<void(const std::string& id)> on_cancel;
 
-  DataNode() : listener_(listen_at()), port_(port_of(listener_)) {}
+  // While it is silent its connections stay open, and nothing is read from them.
+  std::atomic<bool> silent = false;
+
+  explicit DataNode(int max_segment = 0, int receive_buffer = 0)
+      : listener_(listen_at(0, max_segment, receive_buffer)), port_(port_of(listener_)) {}
   void start() {
     std::thread([this] {
       for (;;) {
@@ -182,10 +224,22 @@
         if (fd < 0) return;
         const int on = 1;
         ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-        std::thread([this, fd] { serve(std::make_shared<NodeSession>(fd)); }).detach();
+        const auto session = std::make_shared<NodeSession>(fd);
+        {
+          const std::lock_guard lock(sessions_mutex_);
+          sessions_.push_back(session);
+        }
+        std::thread([this, session] { serve(session); }).detach();
       }
     }).detach();
   }
+  std::vector<std::shared_ptr<NodeSession>> sessions() {
+    const std::lock_guard lock(sessions_mutex_);
+    std::vector<std::shared_ptr<NodeSession>> open;
+    for (const auto& each : sessions_)
+      if (const auto session = each.lock()) open.push_back(session);
+    return open;
+  }
   std::uint16_t port() const { return port_; }
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
@@ -201,7 +255,10 @@
         const auto rest = buffer.substr(5, length - 1);
         buffer.erase(0, 4 + length);
         if (type == 'S') {
-          for (const auto& part : parts_of(rest)) on_part(part, session);
+          for (auto& part : parts_of(rest)) {
+            part.frame_end = session->read_bytes - buffer.size();
+            on_part(part, session);
+          }
         } else if (type == 'C') {
           if (on_cancel) on_cancel(rest);
         } else if (type == 'H') {
@@ -213,7 +270,11 @@
           return;
         }
       }
-      if (read_more(session->fd(), buffer, 3600) < 0) return;
+      while (silent) sleep_for(0.001);
+      if (session->is_reset()) return;
+      const auto before = buffer.size();
+      if (read_more(session->fd(), buffer, 0.005) < 0) return;
+      session->read_bytes += buffer.size() - before;
     }
   }
   static std::vector<Part> parts_of(const std::string& rest) {
@@ -226,13 +287,15 @@
       int shard = 0;
       std::size_t length = 0;
       if (std::sscanf(rest.substr(at, end - at).c_str(), "%599s %d %4999s %zu", id, &shard, list, &length) != 4) break;
-      parts.push_back({id, shard, list, rest.substr(end + 1, length), now()});
+      parts.push_back({id, shard, list, rest.substr(end + 1, length), now(), 0});
       at = end + 1 + length;
     }
     return parts;
   }
   int listener_;
   std::uint16_t port_;
+  std::mutex sessions_mutex_;
+  std::vector<std::weak_ptr<NodeSession>> sessions_;
 };
 
 // --- the discovery agent
