--- a/review/1/driver.cpp
+++ b/review/1/driver.cpp
@@ -16,7 +16,7 @@
 constexpr int kReset = 0, kSilent = 1;
 // So many parts has the silent node got before, in one round each until the rule is broken: with how many of them the socket
 // fills up in the midst of the next frame depends on the kernel.
-constexpr int kFillers[] = {3, 3, 4, 3, 3, 4, 3, 3};
+constexpr int kFillers[] = {3, 3, 4, 3, 3, 4};
 bool drains(int node) { return node == 2 || node == 3; }
 
 // armor-cafe's settings, with another effect for one class: `recherche` must not be repeated.
@@ -70,6 +70,7 @@
       }
       if (part.text.size() > 1000 || what != "runs")
         record.line("s-%d %s: %s %d %s, %zu bytes", i, what.c_str(), part.id.c_str(), part.shard, part.list.c_str(), part.text.size());
+      if (drains(i)) return void(session->answer(part.id, "full", 0, ""));
       if (trouble && i == kReset && !key.empty()) {
         record.line("s-%d: the connection is reset under %s, its answer is lost", i, part.id.c_str());
         return session->reset();
--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -154,6 +154,7 @@
 // other side (send). Rows of /proc/net/tcp.
 struct KernelQueues {
   std::uint64_t send = 0, receive = 0;
+  bool known = false;
 };
 inline KernelQueues kernel_queues(std::uint16_t local, std::uint16_t remote) {
   std::ifstream file("/proc/net/tcp");
@@ -162,7 +163,7 @@
     unsigned from_address = 0, from = 0, to_address = 0, to = 0, state = 0, send = 0, receive = 0;
     if (std::sscanf(line.c_str(), " %*d: %x:%x %x:%x %x %x:%x", &from_address, &from, &to_address, &to, &state, &send, &receive) == 7 &&
         from == local && to == remote)
-      return {send, receive};
+      return {send, receive, true};
   }
   return {};
 }
@@ -185,19 +186,22 @@
   }
   int fd() const { return fd_; }
   std::atomic<std::uint64_t> read_bytes = 0;
-  // Bytes of this connection that the router's process has handed to the kernel so far, read by the node or not.
+  // Bytes of this connection that the router's process has handed to the kernel so far, read by the node or not. Without the
+  // kernel's rows nothing can be said: as if all had been handed over.
   std::uint64_t handed_over() const {
     sockaddr_in peer{};
     socklen_t size = sizeof peer;
     ::getpeername(fd_, reinterpret_cast<sockaddr*>(&peer), &size);
     const auto own = port_of(fd_), other = ntohs(peer.sin_port);
-    return read_bytes + kernel_queues(own, other).receive + kernel_queues(other, own).send;
+    const auto here = kernel_queues(own, other), there = kernel_queues(other, own);
+    return here.known && there.known ? read_bytes + here.receive + there.send : UINT64_MAX;
   }
+  // Resets the connection at once, under whatever is out on it.
   void reset() {
-    const linger now{1, 0};
-    ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-    ::shutdown(fd_, SHUT_RD);
     reset_ = true;
+    sockaddr none{};
+    none.sa_family = AF_UNSPEC;
+    ::connect(fd_, &none, sizeof none);
   }
   bool is_reset() const { return reset_; }
 
@@ -426,9 +430,11 @@
     std::rename((config_ + ".new").c_str(), config_.c_str());
   }
   void start() {
+    const auto parent = ::getpid();
     pid_ = ::fork();
     if (pid_ == 0) {
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+      if (::getppid() != parent) ::_exit(125);
       const int log = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(log, 1);
       ::dup2(log, 2);
@@ -528,6 +534,11 @@
 inline Arguments arguments(int argc, char** argv) {
   if (argc != 5) throw std::runtime_error("usage: RECORD ROOT RUN FOLDER");
   ::signal(SIGPIPE, SIG_IGN);
+  // Ends with the script that started it, and after 110 s in any case; the routers end with this process.
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (::getppid() == 1) throw std::runtime_error("the script has ended");
+  ::signal(SIGALRM, [](int) { ::_exit(2); });
+  ::alarm(110);
   const char* trouble = std::getenv("TROUBLE");
   return {trouble == nullptr || std::string_view(trouble) != "0", argv[1], argv[2], argv[3], argv[4]};
 }
