Review: case 1 keeps to the site's numbers of parts and to a shorter silence

It sent recherche of one part, which the site does not have, and a silence of the full 6 s; the claim did not say why the stand-ins' sockets are small. Change: recherche is keyed and has 4 parts, modif-commande is unsafe and has 1, the window is 3 s and the silence 4.5 s; up to nine rounds.

--- a/review/1/driver.cpp
+++ b/review/1/driver.cpp
@@ -1,29 +1,34 @@
 // A keyed part runs at one data node, whose connection is reset under it. Its repeat goes to a node that has just fallen silent,
-// for 6 s, and to which the socket is nearly full. The repeat must not reach that node after the window for repeats.
+// for 4.5 s, and to which the socket is nearly full. The repeat must not reach that node after the window for repeats.
 #include "../standin/standin.hpp"
 
 using namespace standin;
 
 namespace {
 
-constexpr int kMaxSegment = 1460;        // as on an Ethernet
+// On the stand-ins' own sockets: segments as on an Ethernet, and next to nothing that a cut-off machine's kernel still takes in.
+constexpr int kMaxSegment = 1460;
 constexpr int kReceiveBuffer = 8 * 1024;
-constexpr std::size_t kText = 60 * 1024;        // of the keyed part; a body holds at most 64 KiB
-constexpr double kWindowSeconds = 5;     // of modif-commande
+constexpr std::size_t kText = 63 * 1024; // of a query; a body holds at most 64 KiB
+constexpr double kWindowSeconds = 3;     // of the keyed class
 constexpr double kSlackSeconds = 0.05;
-constexpr double kSilentSeconds = 6;
+constexpr double kSilentSeconds = 4.5;
 constexpr double kUsualSeconds = 0.15;   // of a part
 constexpr int kReset = 0, kSilent = 1;
 // So many parts has the silent node got before, in one round each until the rule is broken: with how many of them the socket
 // fills up in the midst of the next frame depends on the kernel.
-constexpr int kFillers[] = {3, 3, 4, 3, 3, 4};
+constexpr int kFillers[] = {3, 3, 4, 3, 3, 4, 3, 3, 4};
 bool drains(int node) { return node == 2 || node == 3; }
 
-// armor-cafe's settings, with another effect for one class: `recherche` must not be repeated.
+void replace(std::string& text, const std::string& from, const std::string& to) { text.replace(text.find(from), from.size(), to); }
+
+// armor-cafe's settings, with another effect for two classes and a shorter window: `recherche` is keyed, `modif-commande` must not be
+// repeated.
 std::string settings() {
   std::string text = kArmorCafe;
-  const std::string safe = "\"recherche\", \"semantics\": \"safe\"";
-  text.replace(text.find(safe), safe.size(), "\"recherche\", \"semantics\": \"unsafe\"");
+  replace(text, R"("name": "recherche", "semantics": "safe")", R"("name": "recherche", "semantics": "keyed")");
+  replace(text, R"("late_worth": 0.3, "window_us": 5000000)", R"("late_worth": 0.3, "window_us": 3000000)");
+  replace(text, R"("name": "modif-commande", "semantics": "keyed")", R"("name": "modif-commande", "semantics": "unsafe")");
   return text;
 }
 
@@ -91,11 +96,12 @@
   };
   agent.start();
   std::atomic<int> served = 0, other = 0, none = 0;
-  const auto ask = [&](std::uint16_t port, const std::string& path, const std::string& txn, int remaining_ms, int shard, std::size_t size, bool keyed) {
+  const auto ask = [&](std::uint16_t port, const std::string& path, const std::string& txn, int remaining_ms, int parts, int shard, std::size_t size) {
+    const bool keyed = path == "recherche";
     const int fd = connect_to(port);
     std::string buffer;
-    if (size > 1000) record.line("client sends %s to /%s, shard %d, %d ms", txn.c_str(), path.c_str(), shard, remaining_ms);
-    write_all(fd, post(path, txn, remaining_ms, query_body(shard, 1, std::string(size, 'q')),
+    if (size > 1000) record.line("client sends %s to /%s, %d parts from shard %d on, %d ms", txn.c_str(), path.c_str(), parts, shard, remaining_ms);
+    write_all(fd, post(path, txn, remaining_ms, query_body(shard, parts, std::string(size, 'q')),
                        keyed ? "Idempotency-Key: key-" + txn + "\r\n" : ""));
     const auto answer = read_answer(fd, buffer, now() + remaining_ms / 1e3 + 1);
     if (size > 1000) record.line("client got %d to %s", answer.status, txn.c_str());
@@ -118,7 +124,7 @@
     std::vector<std::thread> warm;
     for (int c = 0; c < 6; ++c)
       warm.emplace_back([&, c] {
-        for (int i = 0; i < 25; ++i) ask(router.port(), "modif-commande", "w" + std::to_string(rounds) + "x" + std::to_string(c) + "x" + std::to_string(i), 5000, (5 * i + 4 * c) % kShards, 8, true);
+        for (int i = 0; i < 25; ++i) ask(router.port(), "modif-commande", "w" + std::to_string(rounds) + "x" + std::to_string(c) + "x" + std::to_string(i), 5000, 1, (5 * i + 4 * c) % kShards, 8);
       });
     for (auto& client : warm) client.join();
     record.line("the router has served %d queries", served.load());
@@ -132,10 +138,10 @@
     }
     std::vector<std::thread> clients;
     for (int i = 0; i < 2 * fillers; ++i) {  // at s-0 and s-1 by turns: the other holders of shard 0 drain
-      clients.emplace_back([&, i] { ask(router.port(), "recherche", name("filler") + "x" + std::to_string(i), 7400, 0, kText, false); });
+      clients.emplace_back([&, i] { ask(router.port(), "modif-commande", name("before") + "x" + std::to_string(i), 5000, 1, 0, kText); });
       sleep_for(0.002);
     }
-    clients.emplace_back([&] { ask(router.port(), "modif-commande", name("change"), 5000, 0, kText, true); });
+    clients.emplace_back([&] { ask(router.port(), "recherche", name("keyed"), 7000, 4, 0, kText); });
     sleep_until(began + kSilentSeconds);
     if (given.trouble) {
       const std::lock_guard lock(mutex);
