Don't complete a partially written frame whose told time left is out of date

The time left is worked out when the frame is built, and a full socket could hold its rest for any time; the standing test allows 0.15 s over the time left. The rest of a frame is now written within 0.1 s of its building or not at all: its parts end as unsent, known not to have run, and may be sent elsewhere with the time of that moment.

--- a/src/datanodes/connection.cpp
+++ b/src/datanodes/connection.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr double kLoadReportTimeoutSeconds = 2;  // a report that is still missing is then requested again
+// From building a frame to its last byte: the time left that it tells the node is out of date by as much.
+constexpr double kMaxFrameAgeSeconds = 0.1;
 constexpr std::size_t kMaxReadsPerTurn = 16;  // of one connection, before the event loop goes on with others
 constexpr std::size_t kMaxFinalReads = 1024;  // of what a socket still holds after a write to it has failed
 
@@ -133,7 +135,7 @@
 // Returns true if send_buffer_ is empty.
 bool NodeConnection::write_buffered() {
   while (send_buffer_.size() > 0) {
-    if (partial_frame_.bytes_left > 0 && now() >= partial_frame_.send_deadline) {
+    if (partial_frame_.bytes_left > 0 && now() >= partial_frame_.complete_by) {
       abandon_partial_frame();
       return false;
     }
@@ -165,7 +167,8 @@
     return true;
   }
   send_buffer_.append(std::string_view(frame).substr(written));
-  partial_frame_ = {frame.size() - written, earliest_send_deadline(call), std::move(call)};
+  const auto complete_by = std::min(earliest_send_deadline(call), at + kMaxFrameAgeSeconds);
+  partial_frame_ = {frame.size() - written, complete_by, std::move(call)};
   return write_buffered();
 }
 
--- a/src/datanodes/connection.hpp
+++ b/src/datanodes/connection.hpp
@@ -95,7 +95,7 @@
   // The call whose frame the socket has taken only in part; the rest is at the head of send_buffer_.
   struct PartialFrame {
     std::size_t bytes_left = 0;
-    double send_deadline = 0;  // the earliest of its parts
+    double complete_by = 0;  // its rest is not written from then on
     std::vector<OutgoingPart> parts;
   };
 
--- a/tests/node_connection_test.cpp
+++ b/tests/node_connection_test.cpp
@@ -326,6 +326,23 @@
   CHECK(router.ended(kFirstLargeQuery + written));
 }
 
+// Guards against a node that goes on working after its client has stopped waiting: the frame was built when
+// its first byte was written, and its last byte left seconds later with the time left as of then.
+TEST_CASE(
+    "a partially written frame is not completed once the time left that it tells the node is out of date") {
+  constexpr std::chrono::milliseconds kMaxExcess(150);  // of the time told over the time left
+  PoolWithNode router;
+  auto node = router.connect();
+  router.fill_socket();
+  router.run_for(kMaxExcess);
+  const auto buffered = PoolWithNode::read_buffered(node);
+  CHECK(router.read_written_later(node).empty());
+  const auto written = static_cast<int>(complete_frames(buffered));
+  REQUIRE(buffered.size() > static_cast<std::size_t>(written) * kLargeFrameBytes);  // the next one is cut off
+  REQUIRE(router.ended(kFirstLargeQuery + written));
+  CHECK(router.outcomes.by_query[kFirstLargeQuery + written] == Outcome::unsent);  // it can go elsewhere
+}
+
 TEST_CASE("parts that wait for a connection are withdrawn at once when their node drains or is removed") {
   PoolWithNode router;
   router.send(1, "text");
