Drop a deduplicated part that the kernel still holds at the end of its window

Cause: a frame that was written whole to the socket of a node that takes nothing lies in the kernel, which delivers it when the node comes back, whatever became of its part; an orderly close of the connection lets it do so too.

0.1 s after the send timeout of a part the pool asks the kernel (SIOCOUTQ) whether the node's machine has acknowledged the whole frame. If not, the connection is closed. A connection with unacknowledged bytes is closed by a reset, so that nothing more is delivered on it. Where the kernel can't tell, all stays as it was.

Tests: "a part that the kernel holds is not delivered after its send timeout" and "what the kernel holds of cancelled parts is not delivered once their connection is closed" failed without the change; "a connection whose node received a part but has not answered it stays open past its send timeout" holds the other side.

--- a/src/datanodes/connection.cpp
+++ b/src/datanodes/connection.cpp
@@ -1,6 +1,8 @@
 #include "datanodes/connection.hpp"
 
 #include <fmt/format.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -108,7 +110,7 @@
 }
 
 void NodeConnection::send(std::vector<OutgoingPart> parts, double now) {
-  for (const auto& part : parts) pending_calls_[part.id] = {part.ref, now, false};
+  for (const auto& part : parts) pending_calls_[part.id] = {part.ref, now, 0};
   queued_calls_.push_back(std::move(parts));
   last_used_ = now;
   if (state_ == State::open) timers_.cancel(timer_key_);
@@ -144,9 +146,10 @@
     if (!write_some({static_cast<const char*>(head.data()), head.size()}, written)) return false;
     send_buffer_.consume(written);
     if (partial_frame_.bytes_left == 0) continue;
-    partial_frame_.bytes_left -= std::min(partial_frame_.bytes_left, written);
-    if (partial_frame_.bytes_left > 0) continue;
-    for (const auto& part : std::exchange(partial_frame_.parts, {})) mark_written(part.id);
+    const auto of_frame = std::min(partial_frame_.bytes_left, written);
+    partial_frame_.bytes_left -= of_frame;
+    if (partial_frame_.bytes_left == 0)
+      mark_written(std::exchange(partial_frame_.parts, {}), written_bytes_ - (written - of_frame));
   }
   send_buffer_.release();
   return true;
@@ -163,7 +166,7 @@
   auto call = std::move(queued_calls_.front());
   queued_calls_.pop_front();
   if (written == frame.size()) {
-    for (const auto& part : call) mark_written(part.id);
+    mark_written(call, written_bytes_);
     return true;
   }
   send_buffer_.append(std::string_view(frame).substr(written));
@@ -178,6 +181,7 @@
   do {
     written = socket_.write_some(asio::buffer(bytes), error);
   } while (error == asio::error::interrupted);
+  written_bytes_ += written;
   if (!error) return true;
   if (would_block(error)) {
     wait_writable();
@@ -254,8 +258,23 @@
   return encode_call_frame(requests);
 }
 
-void NodeConnection::mark_written(const std::string& id) {
-  if (const auto call = pending_calls_.find(id); call != pending_calls_.end()) call->second.written = true;
+void NodeConnection::mark_written(std::span<const OutgoingPart> parts, std::uint64_t frame_end) {
+  for (const auto& part : parts)
+    if (const auto call = pending_calls_.find(part.id); call != pending_calls_.end())
+      call->second.frame_end = frame_end;
+}
+
+// Bytes that the kernel holds until the node's machine acknowledges them. 0 if it can't tell.
+std::uint64_t NodeConnection::unacknowledged_bytes() {
+  int count = 0;
+  if (::ioctl(socket_.native_handle(), SIOCOUTQ, &count) != 0 || count < 0) return 0;
+  return static_cast<std::uint64_t>(count);
+}
+
+bool NodeConnection::is_undelivered(const std::string& id) {
+  const auto call = pending_calls_.find(id);
+  return state_ == State::open && call != pending_calls_.end() && call->second.written() &&
+         call->second.frame_end + unacknowledged_bytes() > written_bytes_;
 }
 
 // --- reading
@@ -416,11 +435,13 @@
   state_ = State::closed;
   timers_.cancel(timer_key_);
   boost::system::error_code ignored;
+  // An orderly close would still send what the kernel holds: parts that nobody waits for.
+  if (unacknowledged_bytes() > 0) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   socket_.close(ignored);
   queued_calls_.clear();
   const auto self = shared_from_this();
   for (const auto& [id, call] : std::exchange(pending_calls_, {}))
-    owner_.call_ended(call.ref, call.written ? written : unwritten, 0, {});
+    owner_.call_ended(call.ref, call.written() ? written : unwritten, 0, {});
   owner_.closed(*this, reason, message);
 }
 
--- a/src/datanodes/connection.hpp
+++ b/src/datanodes/connection.hpp
@@ -73,10 +73,14 @@
   // Takes no new calls and closes as soon as none is pending. Parts whose frames were not written completely
   // end as `unsent`.
   void retire();
-  // Closes the connection. Pending calls whose frame was written completely end with the outcome `written`;
-  // all others can't have run and end with `unwritten`.
+  // Closes the connection; what the node's machine has not received yet is never sent. Pending calls whose
+  // frame was written completely end with the outcome `written`; all others can't have run and end with
+  // `unwritten`.
   void close(Closing reason, std::string_view message, Outcome written = Outcome::disconnected,
              Outcome unwritten = Outcome::unreachable);
+  // Whether the whole frame of this part was written, and the node's machine has not acknowledged all of it:
+  // the rest may still arrive at any time until the connection is closed.
+  bool is_undelivered(const std::string& id);
   // Requests a load report of the node. False: it can't be requested now, or an earlier request is still
   // pending.
   bool request_load(double now);
@@ -89,8 +93,10 @@
   enum class State { created, connecting, open, closed };
   struct PendingCall {
     CallRef ref;
-    double sent_at = 0;    // when it was passed to send()
-    bool written = false;  // the kernel has taken the last byte of its frame
+    double sent_at = 0;           // when it was passed to send()
+    std::uint64_t frame_end = 0;  // position of the end of its frame in all bytes written; 0: not written yet
+
+    bool written() const { return frame_end > 0; }
   };
   // The call whose frame the socket has taken only in part; the rest is at the head of send_buffer_.
   struct PartialFrame {
@@ -113,7 +119,8 @@
   void write_failed(const boost::system::error_code& error);
   void drop_expired_parts(double now);
   std::string encode_call(std::span<const OutgoingPart> parts, double now) const;
-  void mark_written(const std::string& id);
+  void mark_written(std::span<const OutgoingPart> parts, std::uint64_t frame_end);
+  std::uint64_t unacknowledged_bytes();
   bool is_partially_written(const std::string& id) const;
   void abandon_partial_frame();
   void end_as_unsent(std::vector<OutgoingPart> parts);
@@ -140,6 +147,7 @@
   double last_received_ = 0;
   double connect_started_at_ = 0;
   double load_requested_at_ = 0;  // 0: no report is pending
+  std::uint64_t written_bytes_ = 0;
   RingBuffer receive_buffer_, send_buffer_;
   std::deque<std::vector<OutgoingPart>> queued_calls_;  // no byte of them was written
   PartialFrame partial_frame_;
--- a/src/datanodes/pool.cpp
+++ b/src/datanodes/pool.cpp
@@ -68,7 +68,7 @@
   // deduplicated part is over.
   if (send_timeout < timeout) {
     call.send_timer = timers_.new_key();
-    timers_.schedule(call.send_timer, part.send_deadline, [this, ref](double) { withdraw(ref); });
+    timers_.schedule(call.send_timer, part.send_deadline, [this, ref](double t) { on_send_timeout(ref, t); });
   }
   queued_parts_[{node, group}].push_back(std::move(part));
 }
@@ -143,6 +143,24 @@
   if (!connection || connection->withdraw(id)) call_ended(ref, Outcome::unsent, 0, {});
 }
 
+void ConnectionPool::on_send_timeout(const CallRef& ref, double now) {
+  withdraw(ref);
+  const auto pending = pending_calls_.find(ref);
+  if (pending == pending_calls_.end()) return;
+  timers_.schedule(pending->second.send_timer, now + kDeliverySeconds,
+                   [this, ref](double) { on_delivery_timeout(ref); });
+}
+
+// The kernel holds the part for a node that takes nothing. It would deliver it whenever the node comes back,
+// also after the time in which the node drops repeats of the part.
+void ConnectionPool::on_delivery_timeout(const CallRef& ref) {
+  const auto pending = pending_calls_.find(ref);
+  if (pending == pending_calls_.end()) return;
+  const auto connection = pending->second.connection.lock();
+  if (connection && connection->is_undelivered(pending->second.id))
+    connection->close(Closing::broken, "a part with a send timeout was not received in time");
+}
+
 void ConnectionPool::cancel_unsent(long long query) {
   std::vector<CallRef> calls;
   for (auto pending = pending_calls_.lower_bound({query, 0, 0});
--- a/src/datanodes/pool.hpp
+++ b/src/datanodes/pool.hpp
@@ -15,6 +15,9 @@
 
 class ConnectionPool : private NodeConnection::Owner {
  public:
+  // For the bytes of a written frame to reach the node's machine, and for its acknowledgement to arrive.
+  static constexpr double kDeliverySeconds = 0.1;
+
   class Listener {
    public:
     virtual ~Listener() = default;
@@ -38,14 +41,15 @@
   void retire_connections(int node);  // they take no new calls and close once none is pending
   bool has_connection(int node) const;
   // Queues a part until flush(). The parts of one group that are queued between two calls of flush() are sent
-  // to the node as one call. The part ends with a timeout after `timeout` seconds. If its frame has not begun
-  // to be written within `send_timeout` seconds, it is never sent.
+  // to the node as one call. The part ends with a timeout after `timeout` seconds. If its frame has not been
+  // written completely within `send_timeout` seconds, it is never sent; if the node's machine has not
+  // received all of it kDeliverySeconds later, its connection is closed.
   void send(int node, int group, OutgoingPart part, double timeout, double send_timeout);
   void flush();
   void request_loads();  // one load report from each node with an open connection
   // Ends a call with this outcome and sends its node a cancellation; a call that was not sent is withdrawn.
   void cancel(const CallRef& ref, Outcome outcome);
-  // Withdraws all calls of a query whose frames have not begun to be written.
+  // Withdraws all calls of a query whose frames were not written completely.
   void cancel_unsent(long long query);
   std::size_t connection_count() const { return connection_count_; }
 
@@ -63,6 +67,8 @@
   };
 
   void withdraw(const CallRef& ref);
+  void on_send_timeout(const CallRef& ref, double now);
+  void on_delivery_timeout(const CallRef& ref);
   void call_ended(const CallRef& ref, Outcome outcome, double score, std::string_view value) override;
   void opened(NodeConnection& connection, double connect_seconds) override;
   void closed(NodeConnection& connection, Closing reason, std::string_view message) override;
--- a/tests/node_connection_test.cpp
+++ b/tests/node_connection_test.cpp
@@ -29,6 +29,8 @@
 constexpr int kLargeQueries = 300;  // 18 MB, more than any socket buffer takes
 constexpr std::size_t kLargeTextBytes = 60'000;
 constexpr double kLargeQuerySeconds = 9;
+constexpr int kSmallReceiveBufferBytes =
+    8 * 1024;  // of a node that takes next to nothing while it does not read
 // Its line is "qNNNN.0 0 d=MMMM 60000".
 constexpr std::size_t kLargeFrameBytes = 5 + 23 + kLargeTextBytes;
 
@@ -39,12 +41,13 @@
     CHECK(by_query.emplace(ref.query, outcome).second);  // a call ends once
   }
   void connection_opened(int, double) override { ++connections; }
-  void connection_closed(int, Closing) override {}
+  void connection_closed(int, Closing) override { ++closed_connections; }
   void load_requested(int) override {}
   void load_reported(int, std::string_view, double) override {}
   void connection_limit_reached() override {}
   std::map<long long, Outcome> by_query;
   int connections = 0;
+  int closed_connections = 0;
 };
 
 // A pool that knows one node, whose side of the connection is played by the test. The pool runs only in
@@ -242,7 +245,7 @@
   const auto last_query = kFirstLargeQuery + kLargeQueries - 1;
   SUBCASE("its send timeout is over") {
     router.fill_socket(0.2);
-    router.run_for(std::chrono::milliseconds(300));
+    REQUIRE(router.run_until([&] { return router.ended(last_query); }));
   }
   SUBCASE("its query has ended or its client has disconnected") {
     router.fill_socket();
@@ -343,6 +346,50 @@
   CHECK(router.outcomes.by_query[kFirstLargeQuery + written] == Outcome::unsent);  // it can go elsewhere
 }
 
+// Guards against a deduplicated part that takes effect twice: its frame was written in time, but the kernel
+// held it for a node that took nothing, and delivered it when the node came back.
+TEST_CASE("a part that the kernel holds is not delivered after its send timeout") {
+  PoolWithNode router;
+  router.acceptor.set_option(asio::socket_base::receive_buffer_size(kSmallReceiveBufferBytes));
+  auto node = router.connect();
+  const std::string text(kLargeTextBytes, 'x');
+  router.send(1, text);
+  router.send(2, "deduplicated", 3, 0.2);
+  REQUIRE(router.run_until([&] { return router.ended(2); }));
+  CHECK(router.outcomes.by_query[0] == Outcome::disconnected);
+  CHECK(router.outcomes.by_query[1] == Outcome::disconnected);
+  CHECK(router.outcomes.by_query[2] == Outcome::disconnected);
+  CHECK(complete_frames(PoolWithNode::read_buffered(node)) == 0);
+}
+
+TEST_CASE(
+    "a connection whose node received a part but has not answered it stays open past its send timeout") {
+  PoolWithNode router;
+  auto node = router.connect();
+  router.send(1, "deduplicated", 3, 0.1);
+  router.run_for(std::chrono::milliseconds(400));
+  CHECK(!router.ended(1));
+  CHECK(PoolWithNode::next_payload(node).starts_with("q1.0"));
+  answer(node, "q1.0");
+  REQUIRE(router.run_until([&] { return router.ended(1); }));
+  CHECK(router.outcomes.by_query[1] == Outcome::success);
+}
+
+// Guards against parts that start after their query has ended: an orderly close let the kernel send what it
+// held.
+TEST_CASE("what the kernel holds of cancelled parts is not delivered once their connection is closed") {
+  PoolWithNode router;
+  router.acceptor.set_option(asio::socket_base::receive_buffer_size(kSmallReceiveBufferBytes));
+  auto node = router.connect();
+  answer(node, "q0.0");
+  REQUIRE(router.run_until([&] { return router.ended(0); }));
+  router.send(1, std::string(kLargeTextBytes, 'x'));
+  router.send(2, "text");
+  for (const auto query : {1, 2}) router.pool.cancel({query, 0, 0}, Outcome::cancelled);
+  CHECK(router.outcomes.closed_connections == 1);
+  CHECK(complete_frames(PoolWithNode::read_buffered(node)) == 0);
+}
+
 TEST_CASE("parts that wait for a connection are withdrawn at once when their node drains or is removed") {
   PoolWithNode router;
   router.send(1, "text");
