Read what other sockets brought before writing parts that waited for a connection

After a hold-up of the router one round of the event loop finds a client's close and the socket of a node that can be written, or a connection that has been established, in the order in which they became ready. Parts that waited were written at once, though their client had left more than 0.1 s before. They are written now after the events of the round have been passed on, so that what ends a query withdraws its parts first.

The test "what has arrived on other sockets is read before ..." failed in both subcases without the change.

--- a/src/datanodes/connection.cpp
+++ b/src/datanodes/connection.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <iterator>
 
 #include "buffers/socket_errors.hpp"
@@ -63,7 +64,7 @@
   last_used_ = last_received_ = now();
   owner_.opened(*this, last_used_ - connect_started_at_);
   wait_readable();
-  write();
+  write_after_reads();
 }
 
 void NodeConnection::set_timer(double at) {
@@ -198,11 +199,16 @@
   waits_writable_ = true;
   socket_.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this()](const auto& error) {
     self->waits_writable_ = false;
-    if (self->state_ != State::open || error == asio::error::operation_aborted) return;
-    self->write();
+    if (error != asio::error::operation_aborted) self->write_after_reads();
   });
 }
 
+// Writes what has waited once the event loop has passed on what other sockets have brought: after a hold-up
+// of the router a client may have left whose parts are waiting here.
+void NodeConnection::write_after_reads() {
+  asio::post(socket_.get_executor(), [self = shared_from_this()] { self->write(); });
+}
+
 // Reads the answers that the node sent before it reset the connection; they are still in the socket.
 void NodeConnection::write_failed(const boost::system::error_code& error) {
   for (std::size_t reads = 0; reads < kMaxFinalReads && read_some(); ++reads) {
--- a/src/datanodes/connection.hpp
+++ b/src/datanodes/connection.hpp
@@ -116,6 +116,7 @@
   bool write_next_call();
   bool write_some(std::string_view bytes, std::size_t& written);
   void wait_writable();
+  void write_after_reads();
   void write_failed(const boost::system::error_code& error);
   void drop_expired_parts(double now);
   std::string encode_call(std::span<const OutgoingPart> parts, double now) const;
--- a/tests/node_connection_test.cpp
+++ b/tests/node_connection_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <limits>
 #include <map>
+#include <optional>
 #include <thread>
 
 #include "datanodes/frames.hpp"
@@ -390,6 +391,33 @@
   CHECK(complete_frames(PoolWithNode::read_buffered(node)) == 0);
 }
 
+// Guards against parts that are sent for a client that has left: after a hold-up of the router the parts that
+// waited were written before the client's close was read.
+TEST_CASE("what has arrived on other sockets is read before parts that waited for a connection are written") {
+  PoolWithNode router;
+  tcp::acceptor clients(router.context, kLoopback);
+  tcp::socket client(router.context);
+  client.connect(clients.local_endpoint());
+  auto accepted = clients.accept();
+  accepted.async_wait(tcp::socket::wait_read, [&](const auto&) {
+    for (int i = 0; i < kLargeQueries; ++i) router.pool.cancel_unsent(kFirstLargeQuery + i);
+  });
+  std::optional<tcp::socket> node;
+  SUBCASE("while it is established") {
+    router.send(kFirstLargeQuery, "text");
+    node = router.acceptor.accept();
+  }
+  SUBCASE("while its socket is full") {
+    node = router.connect();
+    router.fill_socket();
+    PoolWithNode::read_buffered(*node);
+  }
+  client.close();
+  router.context.restart();
+  router.context.poll();
+  CHECK(PoolWithNode::read_buffered(*node).empty());
+}
+
 TEST_CASE("parts that wait for a connection are withdrawn at once when their node drains or is removed") {
   PoolWithNode router;
   router.send(1, "text");
