Leave out a part whose value has no room in the answer, and never call that whole

Cause: Router::store_value marked the part as answered but kept its value only within 64 KiB, expecting the answer to be refused for its size; Router::merge built the body from what was kept, which is small enough, and the policy that says whether an answer is whole knew of nothing.

What has room is now decided where a value arrives, by what it takes in the body to the byte (AnswerValues). The part with the least weight that frees enough is dropped: it counts as not answered and is not sent again, and the policy ends the query by what is left: a partial answer from the least share on, a 500 (reason too_large) as soon as that share can't be had. A drop is logged (value_dropped). Values of the first of two steps, which the answer does not hold, take no room any more: they did when they came late, and values of the second step were lost.

--- a/src/clients/http_messages.cpp
+++ b/src/clients/http_messages.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t kMaxTokenBytes = 256;  // of an id or a key
 constexpr double kMaxSeconds = 24 * 3600;    // of the remaining time and of a target's work
 constexpr double kShareSumTolerance = 1e-3;
+constexpr std::string_view kSmallControlEscapes =
+    "\b\f\n\r\t";  // two characters each in JSON, others take six
 
 // Checks a header that is copied into a field of the request line sent to nodes: it must not contain a
 // separator of lines or fields.
@@ -68,6 +70,12 @@
   return {static_cast<int>(shard), share, work};
 }
 
+// What a character takes in a JSON string.
+std::size_t json_bytes(char c) {
+  if (c == '"' || c == '\\' || kSmallControlEscapes.find(c) != std::string_view::npos) return 2;
+  return static_cast<unsigned char>(c) < ' ' ? 6 : 1;
+}
+
 }  // namespace
 
 QueryRequest parse_query_request(const http::request<http::string_body>& request, const QuerySchema& schema) {
@@ -108,6 +116,13 @@
   return query;
 }
 
+std::size_t result_bytes(const PartResult& result) {
+  constexpr std::string_view kWithoutFields = R"(,{"partition":,"value":""})";
+  auto bytes = kWithoutFields.size() + fmt::formatted_size("{}", result.shard);
+  for (const auto c : result.value) bytes += json_bytes(c);
+  return bytes;
+}
+
 std::string response_body(bool whole, const std::vector<PartResult>& results) {
   json::array list;
   for (const auto& result : results)
--- a/src/clients/http_messages.hpp
+++ b/src/clients/http_messages.hpp
@@ -52,6 +52,11 @@
 // Throws BadRequest.
 QueryRequest parse_query_request(const boost::beast::http::request<boost::beast::http::string_body>& request,
                                  const QuerySchema& schema);
+// What a result takes in a response body, with a comma in front.
+std::size_t result_bytes(const PartResult& result);
+// Of all results in a response body; the first one has no comma.
+inline constexpr std::size_t kMaxResultBytes =
+    kMaxBodyBytes + 1 - std::string_view(R"({"whole":false,"results":[]})").size();
 // whole: the results cover all that the query asked for.
 std::string response_body(bool whole, const std::vector<PartResult>& results);
 // retry_after: seconds for the Retry-After header; 0: no such header.
--- a/src/policy/adaptive_routing_policy.cpp
+++ b/src/policy/adaptive_routing_policy.cpp
@@ -3,8 +3,8 @@
 // behind the design are in docs/design.md.
 //
 // The rules that every send and every end keep to:
-//   1. Nothing is sent for a part that is answered, or for a query that has ended or whose deadline has
-//   passed.
+//   1. Nothing is sent for a part that is answered or dropped, or for a query that has ended or whose
+//   deadline has passed.
 //   2. A part that may have run is not repeated beyond what its vertical's effect allows.
 //   3. A node that drains or was removed is sent nothing.
 //   4. A node in slow start is sent no more than the share of its capacity that it has already.
@@ -79,6 +79,7 @@
   void send_if_due(const Query& query, int index, Decision& decision, double now);
   Send record_send(const Query& query, int leaf, int node, Explanation why, double now);
   Decision evaluate_end(const Query& query, double now);
+  Decision abort(Explanation why);
   Decision reject_or_abort(const Query& query, Explanation why);
   void record_outcome(const Query& query, const Leaf& leaf, const Call& call, double now);
 };
@@ -109,7 +110,7 @@
 // The check before every send. Returns why the part must not be sent to the node, Reason::none if it may be.
 Explanation AdaptiveRoutingPolicy::State::why_not_sendable(const Query& query, const Leaf& leaf, Node& node,
                                                            double now) {
-  if (query.ended || leaf.answered || now >= verticals.final_deadline(query))
+  if (query.ended || !leaf.awaits_answer() || now >= verticals.final_deadline(query))
     return explain(Reason::deadline_passed);  // rule 1
   if (leaf.attempts() >= settings.max_calls) return explain(Reason::max_calls_reached, settings.max_calls);
   if (now >= resend_until(query, leaf)) return explain(Reason::may_have_run);  // rule 2
@@ -290,17 +291,23 @@
           explanation,     resend_until(query, leaf) - now};
 }
 
-Decision AdaptiveRoutingPolicy::State::reject_or_abort(const Query& query, Explanation explanation) {
+Decision AdaptiveRoutingPolicy::State::abort(Explanation explanation) {
   Decision decision;
+  decision.query_end = QueryEnd::abort;
+  decision.retry_after = settings.max_retry_after;
+  decision.explanation = explanation;
+  return decision;
+}
+
+Decision AdaptiveRoutingPolicy::State::reject_or_abort(const Query& query, Explanation explanation) {
+  auto decision = abort(explanation);
   // Rule 2: a rejection tells the client that a retry is harmless.
   const auto harmless =
       verticals.settings_of(query).effect == Effect::repeatable ||
       std::all_of(query.leaves.begin(), query.leaves.end(), [](const Leaf& leaf) {
         return std::none_of(leaf.calls.begin(), leaf.calls.end(), std::mem_fn(&Call::may_have_run));
       });
-  decision.query_end = harmless ? QueryEnd::reject : QueryEnd::abort;
-  decision.retry_after = settings.max_retry_after;
-  decision.explanation = explanation;
+  if (harmless) decision.query_end = QueryEnd::reject;
   return decision;
 }
 
@@ -309,11 +316,16 @@
   const auto& vertical = verticals.settings_of(query);
   double answered_weight[2] = {0, 0};  // by step
   double possible_weight[2] = {0, 0};  // by step: answered or may still be answered
+  double dropped_weight[2] = {0, 0};   // by step
   bool second_step_answered = true;
   for (const auto& leaf : query.leaves) {
     const auto step = leaf.step - 1;
     if (leaf.answered) answered_weight[step] += leaf.weight;
     second_step_answered = second_step_answered && (leaf.answered || leaf.step == 1);
+    if (leaf.dropped) {
+      dropped_weight[step] += leaf.weight;
+      continue;
+    }
     const auto can_be_sent =
         leaf.calls.empty() || (leaf.attempts() < settings.max_calls && now < resend_until(query, leaf));
     if (leaf.answered || leaf.any_pending() || can_be_sent) possible_weight[step] += leaf.weight;
@@ -345,7 +357,10 @@
   }
   const auto required_share =
       vertical.min_merge_share < vertical.complete_share ? vertical.min_merge_share : step_share;
-  if (possible_share < required_share - kWeightRounding)
+  const auto missing_share = required_share - possible_share;
+  if (missing_share > kWeightRounding && missing_share <= dropped_weight[query.step - 1] + kWeightRounding)
+    return abort(explain(Reason::answer_too_large, answered_share, possible_share));
+  if (missing_share > kWeightRounding)
     return reject_or_abort(query, explain(Reason::share_unreachable, answered_share, possible_share));
   if (past_deadline || (past_slo && vertical.late_utility <= 0))
     return reject_or_abort(query, explain(Reason::deadline_passed, answered_share));
@@ -441,7 +456,7 @@
       if (leaf.work_hint > 0) state.relative_work.record_hint(query.vertical, leaf.work_hint);
   query.admitted = true;
   for (std::size_t i = 0; i < query.leaves.size(); ++i)
-    if (!query.leaves[i].answered) state.send_if_due(query, static_cast<int>(i), decision, now);
+    if (query.leaves[i].awaits_answer()) state.send_if_due(query, static_cast<int>(i), decision, now);
   return decision;
 }
 Decision AdaptiveRoutingPolicy::on_call_ended(Query& query, int leaf_index, int call_index, double now) {
@@ -452,7 +467,7 @@
   const auto& call = leaf.calls[static_cast<std::size_t>(call_index)];
   state.record_outcome(query, leaf, call, now);
   Decision decision;
-  if (call.outcome != Outcome::success || leaf.answered) return decision;
+  if (call.outcome != Outcome::success || !leaf.awaits_answer()) return decision;
   leaf.answered = true;
   if (state.settings.may_cancel) cancel_pending(decision, leaf, leaf_index, Reason::race_lost, now);
   return decision;
@@ -462,7 +477,7 @@
   auto due = state.verticals.final_deadline(query);
   if (now < state.verticals.slo_deadline(query)) due = std::min(due, state.verticals.slo_deadline(query));
   for (const auto& leaf : query.leaves) {
-    if (leaf.answered) continue;
+    if (!leaf.awaits_answer()) continue;
     const auto copy =
         leaf.calls.size() == 1 && state.may_copy(query) ? state.verticals.copy_at(query, leaf) : now;
     due = std::min(due, copy > now ? copy
--- a/src/queries/queries.cpp
+++ b/src/queries/queries.cpp
@@ -73,6 +73,15 @@
   mark_changed(query, pending);
 }
 
+void Queries::drop_value(long long query, int leaf) {
+  const auto found = pending_queries_.find(query);
+  if (found == pending_queries_.end() || found->second->query.ended) return;
+  auto& part = found->second->query.leaves[static_cast<std::size_t>(leaf)];
+  part.answered = false;
+  part.dropped = true;
+  mark_changed(query, *found->second);
+}
+
 void Queries::abandon(long long query) {
   if (const auto found = pending_queries_.find(query); found != pending_queries_.end())
     end_query(query, *found->second);
--- a/src/queries/queries.hpp
+++ b/src/queries/queries.hpp
@@ -73,6 +73,8 @@
   // The first outcome of a call counts, later ones are ignored. score: of a successful answer; decides where
   // the second step goes.
   void on_outcome(long long query, int leaf, int call, Outcome outcome, double score, double now);
+  // The answer has no room for the value of this part, whose outcome was reported before.
+  void drop_value(long long query, int leaf);
   // Ends the query without an answer, as its client has disconnected.
   void abandon(long long query);
   // Runs the timers that are due, then asks the policy about all queries that have changed.
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -524,9 +524,11 @@
     const auto query_state = pending_queries_.find(result.ref.query);
     if (query_state == pending_queries_.end()) continue;
     --pending_calls_;
-    if (result.outcome == Outcome::success)
-      store_value(query_state->second, result.ref.leaf, std::move(result.value));
+    const auto dropped = result.outcome == Outcome::success
+                             ? store_value(query_state->second, result.ref.leaf, std::move(result.value))
+                             : kNone;
     queries_.on_outcome(result.ref.query, result.ref.leaf, result.ref.call, result.outcome, result.score, at);
+    if (dropped != kNone) drop_value(result.ref.query, dropped);
   }
   queries_.process_changes(at);
   if (!merged_first_steps_.empty()) {
@@ -622,7 +624,8 @@
   queries_.add_query(number, std::move(query), at);
   for (const auto& target : request.targets) {
     queries_.add_part(number, {target.shard, target.share, target.work, 1, false, {}}, at);
-    query_state.parts.push_back({request.id + "." + std::to_string(target.shard), target.shard, false, {}});
+    query_state.parts.push_back(
+        {request.id + "." + std::to_string(target.shard), target.shard, target.share});
     ++open_count_;
   }
   schedule_turn();
@@ -689,11 +692,9 @@
   version_reporter_.versions().record_query_end(query_state.vertical,
                                                 whole ? RouterAction::whole : RouterAction::part);
   std::vector<PartResult> results;
-  for (std::size_t i = static_cast<std::size_t>(
-           query_state.second_step_begin < kNoSecondStep ? query_state.second_step_begin : 0);
-       i < query_state.parts.size(); ++i)
-    if (query_state.parts[i].answered)
-      results.push_back({query_state.parts[i].shard, query_state.parts[i].value});
+  query_state.values.for_each([&](int leaf, std::string_view value) {
+    results.push_back({query_state.parts[static_cast<std::size_t>(leaf)].shard, value});
+  });
   send_answer(query, 200, response_body(whole, results));
 }
 
@@ -708,7 +709,7 @@
   ++counters_.aborted;
   version_reporter_.versions().record_query_end(pending_queries_.at(query).vertical, RouterAction::aborted);
   log_outcome("aborted", query, why);
-  send_answer(query, 500, "aborted");
+  send_answer(query, 500, why.reason == Reason::answer_too_large ? "the answer is too large" : "aborted");
 }
 
 void Router::log_outcome(std::string_view end, long long query, const Explanation& why) {
@@ -736,13 +737,11 @@
     if (part.answered) from += fmt::format("{}{}", from.empty() ? "" : "+", part.shard);
   query_state.second_step_options = ",from=" + from + query_state.second_step_options;
   query_state.second_step_begin = static_cast<int>(query_state.parts.size());
-  query_state.value_bytes = 0;
-  for (auto& part : query_state.parts) part.value.clear();
   for (const auto leaf : chosen) {
     const auto shard = query_state.parts[static_cast<std::size_t>(leaf)].shard;
     const auto weight = 1.0 / static_cast<double>(chosen.size());
     queries_.add_part(query, {shard, weight, 0, 2, false, {}}, at);
-    query_state.parts.push_back({fmt::format("{}.{}.p2", query_state.id, shard), shard, false, {}});
+    query_state.parts.push_back({fmt::format("{}.{}.p2", query_state.id, shard), shard, weight});
     ++open_count_;
   }
 }
@@ -754,13 +753,29 @@
   schedule_turn();
 }
 
-void Router::store_value(PendingQuery& query, int leaf, std::string value) {
+// Keeps a value that belongs in the answer. Returns the part whose value was dropped for lack of room; kNone:
+// none.
+int Router::store_value(PendingQuery& query, int leaf, std::string value) {
   auto& part = query.parts[static_cast<std::size_t>(leaf)];
-  if (!query.awaits_answer || part.answered) return;
+  if (!query.awaits_answer || part.answered || part.dropped) return kNone;
   part.answered = true;
-  query.value_bytes += value.size();
-  // Values that exceed the size of an answer are not kept; the answer is then refused for its size.
-  if (query.value_bytes <= kMaxBodyBytes) part.value = std::move(value);
+  // The answer holds the values of the last step only.
+  const auto has_second_step =
+      config_.settings.verticals[static_cast<std::size_t>(query.vertical)].second_step_parts > 0;
+  if (has_second_step && leaf < query.second_step_begin) return kNone;
+  const auto bytes = result_bytes({part.shard, value});
+  return query.values.add(leaf, part.weight, bytes, std::move(value));
+}
+
+void Router::drop_value(long long query, int leaf) {
+  auto& query_state = pending_queries_.at(query);
+  auto& part = query_state.parts[static_cast<std::size_t>(leaf)];
+  part.answered = false;
+  part.dropped = true;
+  log_.line("value_dropped", "query={} vertical={} shard={} bytes={} most={}", query_state.id,
+            config_.verticals[static_cast<std::size_t>(query_state.vertical)], part.shard,
+            query_state.values.bytes(), kMaxResultBytes);
+  queries_.drop_value(query, leaf);
 }
 
 // --- discovery
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -19,6 +19,7 @@
 #include "discovery/node_ages.hpp"
 #include "discovery/watch.hpp"
 #include "logging/log.hpp"
+#include "queries/answer_values.hpp"
 #include "queries/queries.hpp"
 #include "router/config.hpp"
 #include "router/shutdown.hpp"
@@ -61,8 +62,9 @@
   struct Part {
     std::string id;
     int shard = 0;
+    double weight = 0;  // share of the answer
     bool answered = false;
-    std::string value;
+    bool dropped = false;  // its value was received, but the answer has no room for it
   };
   // The state of a query that only the connections need.
   struct PendingQuery {
@@ -77,7 +79,7 @@
     std::vector<Part> parts;
     int second_step_begin = kNoSecondStep;  // parts from this index on belong to the second step
     std::string second_step_options;        // sent with these parts: what came of the first step
-    std::size_t value_bytes = 0;            // of all stored values
+    AnswerValues values{kMaxResultBytes};
   };
   struct Counters {
     // disconnected: queries whose client disconnected first.
@@ -127,7 +129,8 @@
 
   void accept_query(int connection, QueryRequest request);
   void start_second_step(long long query, double at);
-  void store_value(PendingQuery& query, int leaf, std::string value);
+  int store_value(PendingQuery& query, int leaf, std::string value);
+  void drop_value(long long query, int leaf);
   void release_query(long long query);
   void send_answer(long long query, int status, std::string_view body, double retry_after = 0);
   void schedule_turn();
--- a/src/routing_policy.hpp
+++ b/src/routing_policy.hpp
@@ -116,7 +116,10 @@
   int step = 1;
   bool answered = false;
   std::vector<Call> calls;
+  // Its value was received, but the answer has no room for it: the part counts as not answered.
+  bool dropped = false;
 
+  bool awaits_answer() const { return !answered && !dropped; }
   bool any_pending() const { return std::any_of(calls.begin(), calls.end(), std::mem_fn(&Call::pending)); }
   // Calls that have left this router or still may.
   std::ptrdiff_t attempts() const {
@@ -164,6 +167,9 @@
   // A node is passed over because its site is lost. Figure: time since the loss.
   site_avoided,
   router_refusing,  // a query ends: this router takes no queries, or few, for now
+  // A query ends: the values of the required share don't fit into an answer. Figures: share that fits, share
+  // still possible.
+  answer_too_large,
 };
 
 struct Query {
--- a/src/timeline/event.cpp
+++ b/src/timeline/event.cpp
@@ -23,8 +23,9 @@
     "lost_answer", "on_time",      "copies_spent", "none_quicker", "none_left",    "paused",
     "calls_spent", "extras_spent", "may_have_run", "dearer",       "down",         "cold",
     "suspect",     "tried",        "whole",        "share",        "no_room",      "strained",
-    "hopeless",    "out_of_reach", "time_over",    "cannot_reach", "away",         "shut_out"};
-static_assert(std::size(kReason) == static_cast<std::size_t>(Reason::router_refusing) + 1);
+    "hopeless",    "out_of_reach", "time_over",    "cannot_reach", "away",         "shut_out",
+    "too_large"};
+static_assert(std::size(kReason) == static_cast<std::size_t>(Reason::answer_too_large) + 1);
 constexpr std::string_view kOutcome[] = {"pending",     "success", "failure", "overloaded", "timed_out",
                                          "unreachable", "broken",  "spoilt",  "cancelled",  "unsent"};
 constexpr std::string_view kBelief[] = {"unheard", "trusted", "cold", "suspect", "on_trial"};
