Don't serve a request whose client has disconnected while it waited

A client that waits in the kernel, or behind its own earlier request, can leave meanwhile. A request is taken now only if its client has neither closed nor reset the connection.

--- a/src/clients/connection.cpp
+++ b/src/clients/connection.cpp
@@ -200,6 +200,9 @@
     if (in_.free_space() == 0) reject(431, "header too large");
     return;
   }
+  // The request may have waited here or in the kernel longer than its client: the end of the connection is
+  // read after it, when its parts have been sent.
+  if (peer_disconnected()) return on_connection_lost();
   state_ = State::answer_pending;
   timers_.cancel(timer_key_);
   owner_.connection_event(*this, What::request, now() - waiting_since_, 0);
--- a/tests/ending_test.cpp
+++ b/tests/ending_test.cpp
@@ -82,6 +82,45 @@
   CHECK(cluster.received_parts() == before + 1);
 }
 
+// Guards against parts that are sent for a client that has left: nothing of the router runs between a request
+// and its client's end, and it finds both together, as with clients that wait in the kernel at the limit of
+// connections.
+TEST_CASE("a request whose client has disconnected while it waited is not served") {
+  TestCluster cluster;
+  check_serves_query(cluster);
+  TestClient idle(cluster);
+  idle.send(query_request("look", {1, 2}, "idle"));
+  REQUIRE(idle.answer() == 200);
+  const auto parts = cluster.received_parts();
+  {
+    TestClient client(cluster);
+    SUBCASE("in the kernel, not accepted yet; it closes") {
+      client.send(query_request("look", {1}, "gone"));
+      client.socket.close();
+    }
+    SUBCASE("in the kernel; it ends its sending side") {
+      client.send(query_request("look", {1}, "gone"));
+      client.socket.shutdown(tcp::socket::shutdown_send);
+    }
+    SUBCASE("in the kernel; it resets") {
+      client.send(query_request("look", {1}, "gone"));
+      client.socket.set_option(boost::asio::socket_base::linger(true, 0));
+      client.socket.close();
+    }
+    SUBCASE("two pipelined requests") {
+      client.send(query_request("look", {1}, "gone") + query_request("look", {2}, "gone too"));
+      client.socket.close();
+    }
+    SUBCASE("on an idle connection") {
+      idle.send(query_request("look", {1}, "gone"));
+      idle.socket.close();
+    }
+    run_for(cluster, 0.3);
+  }
+  CHECK(cluster.received_parts() == parts);
+  check_serves_query(cluster);  // and nobody else is harmed
+}
+
 TEST_CASE("an idle connection with an unread request in its socket is not closed to make room") {
   TestCluster cluster(3, 64);
   std::vector<std::unique_ptr<TestClient>> idle;
