Keep a watch while the entries of a list arrive, for 60 s and 4 MiB at most

Cause: only whole lists and empty lines between them restarted the timer of silence in DiscoveryWatch. Each complete entry does now; bytes that complete none don't, so a drip holds no watch, and one list has a bound in time. An entry is no contact for the ages of nodes, as each node of a router's first list would look freshly started.

"a watch whose list arrives slowly, entry by entry, is kept until the list is complete" failed without the change (6 watches in place of 2, no list).

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "buffers/socket_errors.hpp"
+#include "discovery/list_progress.hpp"
 #include "queries/clock.hpp"
 #include "settings/settings.hpp"
 
@@ -33,6 +34,7 @@
 constexpr double kUnreadDataRecheckSeconds =
     0.01;  // if the silence timer runs while data is unread in the socket
 constexpr std::size_t kMaxListBytes = 4 << 20;  // some 20,000 entries
+constexpr double kMaxListSeconds = 60;  // from the first byte of a list to its last; 3,200 entries at 7 kB/s
 constexpr std::size_t kWatchBufferBytes = 64 * 1024;
 
 template <std::size_t size>
@@ -101,7 +103,7 @@
     read();
   }
   // A list may span several lines. Only complete items show that the watch is alive: an empty line between
-  // two lists or the end of a list.
+  // two lists, an entry of a list, or the end of a list.
   void process_body() {
     const auto body = std::exchange(parser.get().body(), {});
     std::string_view rest(body);
@@ -114,16 +116,32 @@
       boost::system::error_code error;
       const auto used = list_parser.write_some(rest.data(), rest.size(), error);
       if (error) return watch->reject_list(error.message());
-      list_bytes += used;
+      const auto taken = rest.substr(0, used);
       rest.remove_prefix(used);
-      if (!list_parser.done()) continue;
+      if (!list_parser.done()) {
+        if (!follow_list(taken)) return;
+        continue;
+      }
       list_bytes = 0;
+      list_progress = {};
       const auto value = list_parser.release();
       list_parser.reset();
       watch->process_list(value);
     }
   }
 
+  // Takes bytes of a list that goes on behind them. Returns false if the connection was given up.
+  bool follow_list(std::string_view bytes) {
+    if (list_bytes == 0) list_began_at = now();
+    list_bytes += bytes.size();
+    if (now() > list_began_at + kMaxListSeconds) {
+      fail("list too slow");
+      return false;
+    }
+    if (list_progress.take(bytes)) watch->list_progressed();
+    return true;
+  }
+
   asio::ip::tcp::socket socket;
   DiscoveryWatch* watch;  // nullptr: the watch no longer uses this connection
   std::string request;
@@ -131,6 +149,8 @@
   http::response_parser<http::string_body> parser;
   boost::json::stream_parser list_parser;  // of the list that is being received
   std::size_t list_bytes = 0;              // received of this list so far; 0: between two lists
+  double list_began_at = 0;                // when its first byte was received
+  ListProgress list_progress;
 };
 
 DiscoveryWatch::DiscoveryWatch(asio::io_context& context, TimerQueue& timers,
@@ -187,9 +207,14 @@
 }
 
 void DiscoveryWatch::data_received() {
+  list_progressed();
+  listener_.watch_data_received();
+}
+
+// The agent is alive, but what it reports counts only once its list is complete.
+void DiscoveryWatch::list_progressed() {
   received_data_ = true;
   start_silence_timer(kSilenceTimeoutSeconds);
-  listener_.watch_data_received();
 }
 
 void DiscoveryWatch::process_list(const boost::json::value& value) {
--- a/src/discovery/watch.hpp
+++ b/src/discovery/watch.hpp
@@ -51,6 +51,7 @@
   void open();
   void start_silence_timer(double timeout);
   void data_received();
+  void list_progressed();
   void process_list(const boost::json::value& value);
   void accept_list(const MemberList& list);
   void reject_list(std::string_view why);
--- a/tests/ending_test.cpp
+++ b/tests/ending_test.cpp
@@ -283,6 +283,64 @@
   CHECK(now() - began_at < 3.5);
 }
 
+// Guards against a list that is never received: an agent that writes it entry by entry over some seconds was
+// given up as silent each time and asked again from the beginning, and drained nodes went on getting parts.
+TEST_CASE("a watch whose list arrives slowly, entry by entry, is kept until the list is complete") {
+  TestCluster cluster;
+  constexpr double kPieceIntervalSeconds = 0.45;
+  constexpr int kPieces = 10;
+  const auto whole = cluster.list(2, true);
+  std::shared_ptr<toy::Session> slow;
+  cluster.discovery.silent = true;
+  cluster.discovery.on_watch = [&](toy::Session& session) {
+    slow = session.shared_from_this();
+    slow->say(toy::Discovery::kHead);
+    return true;
+  };
+  cluster.discovery.break_off();
+  REQUIRE(cluster.wait_until([&] { return slow != nullptr; }));
+  const auto watches = cluster.discovery.asked.size();
+  std::vector<std::string> entries;
+  for (int i = 0; i < kPieces; ++i)
+    entries.push_back(toy::Discovery::entry("s-" + std::to_string(i % 3), cluster.nodes[0]->at(), 0));
+  slow->say(toy::Discovery::chunk(R"({"version":2,"full":true,"servers":[)"));
+  for (int i = 0; i < kPieces; ++i) {
+    slow->say(toy::Discovery::chunk((i > 0 ? "," : "") + entries[static_cast<std::size_t>(i)]));
+    run_for(cluster, kPieceIntervalSeconds);
+  }
+  CHECK(cluster.discovery.asked.size() == watches);
+  slow->say(toy::Discovery::chunk("]}"));
+  CHECK(cluster.wait_until([&] { return cluster.logged("version=2"); }));
+  CHECK(!cluster.logged("list_unusable"));
+}
+
+TEST_CASE(
+    "a list that stops in the middle, or whose bytes drip without an entry, doesn't keep a watch alive") {
+  TestCluster cluster;
+  cluster.discovery.silent = true;
+  std::string drip;
+  std::vector<std::shared_ptr<toy::Session>> watches;
+  cluster.discovery.on_watch = [&](toy::Session& session) {
+    watches.push_back(session.shared_from_this());
+    watches.back()->say(toy::Discovery::kHead);
+    watches.back()->say(toy::Discovery::chunk(R"({"version":2,"full":true,"servers":[)" +
+                                              toy::Discovery::entry("s-0", cluster.nodes[0]->at(), 0)));
+    return true;
+  };
+  SUBCASE("it stops") {}
+  SUBCASE("it drips") {
+    drip = R"(,{"id":")" + std::string(100, 'x');
+  }
+  cluster.discovery.break_off();
+  REQUIRE(cluster.wait_until([&] { return watches.size() == 1; }));
+  const auto began_at = now();
+  for (std::size_t i = 0; watches.size() == 1 && now() < began_at + 5; ++i) {
+    if (i < drip.size()) watches[0]->say(fmt::format("1\r\n{}\r\n", drip[i]));
+    run_for(cluster, 0.1);
+  }
+  CHECK(now() - began_at < 3.5);
+}
+
 // The protocol counts what a silent watch missed as delivered 6 s after its last message.
 TEST_CASE(
     "a list arrives within 6 s after a watch fell silent, though the next watches hang, end or are slow") {
--- a/tests/network_test.cpp
+++ b/tests/network_test.cpp
@@ -7,6 +7,7 @@
 #include "datanodes/frames.hpp"
 #include "datanodes/pool.hpp"
 #include "discovery/list.hpp"
+#include "discovery/list_progress.hpp"
 #include "examples/standin.hpp"
 #include "logging/log.hpp"
 #include "queries/clock.hpp"
@@ -197,6 +198,21 @@
   }
 }
 
+TEST_CASE("the entries of a list are told as complete, however its bytes are split and whatever they hold") {
+  const std::string list =
+      R"({"a":[1,{"b":2}],"note":"}]{\"","servers":[{"id":"s-}1","o":{"x":[{}]}}, {"id":"s\\"},{}],"version":4})";
+  const std::vector<std::string> ends = {R"({"b":2})", R"("o":{"x":[{}]}})", R"({"id":"s\\"})", R"(,{})"};
+  std::vector<std::size_t> expected;
+  for (const auto& end : ends) expected.push_back(list.find(end) + end.size());
+  ListProgress progress;
+  std::vector<std::size_t> found;
+  for (std::size_t i = 0; i < list.size(); ++i)
+    if (progress.take(std::string_view(list).substr(i, 1))) found.push_back(i + 1);
+  CHECK(found == expected);
+  CHECK(ListProgress().take(list));
+  CHECK(!ListProgress().take(list.substr(0, expected[0] - 1)));
+}
+
 TEST_CASE("invalid member lists are refused, and unknown fields are ignored") {
   const auto at = toy::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 8081);
   const auto valid = toy::Discovery::list(41, false, {toy::Discovery::entry("s-1", at, 3, "draining")});
