Close no connection that has just connected or is unread while there is room

Cause: from a quarter of the descriptors on each accept made room. Clients with a request in hand don't wait, so the connections accepted a moment before in the same loop were closed, with their requests unread in their sockets; where all that were looked at had unread bytes, one was closed all the same.

Below the limit of connections none that has connected within 0.25 s makes room, and none with unread bytes does; at the limit one with unread bytes doesn't either, and accepting goes on 10 ms later.

--- a/src/clients/listener.cpp
+++ b/src/clients/listener.cpp
@@ -67,8 +67,9 @@
   for (int accepted = 0; acceptor_.is_open() && accepted < kMaxAcceptsPerTurn; ++accepted) {
     if (connections_.size() >= max_connections_) {
       if (accepted > 0) break;  // unknown whether another one waits
-      make_room();
+      const auto result = make_room(Ranks::all);
       at_limit_ = connections_.size() >= max_connections_;
+      if (at_limit_ && result == RoomResult::unread) return accept_later(now() + kAcceptRetrySeconds);
       if (at_limit_) return;
     }
     asio::ip::tcp::socket socket(context_);
@@ -81,7 +82,7 @@
       log_.line("accept_failed", "why=\"{}\" connections={}", error.message(), connections_.size());
       return accept_later(now() + kAcceptRetrySeconds);
     }
-    if (connections_.size() >= make_room_from_) make_room();
+    if (connections_.size() >= make_room_from_) make_room(Ranks::except_new);
     admit(std::move(socket));
   }
   wait_for_client();
@@ -101,33 +102,48 @@
                    static_cast<double>(max_connections_));
 }
 
-// Closes one connection that waits for a request, preferring those least likely to bring one: first answered
-// connections idle for longer than the protocol guarantees, then those without a complete request although
-// most clients would have sent one by now, then the others. Without this order a crowd of clients that only
-// connect would push out the clients at work. A connection with unread bytes in its socket, possibly a
-// request, is skipped for the next best; only the first few are checked, as each check is a system call.
-void ClientListener::make_room() {
-  std::vector<std::shared_ptr<ClientConnection>> waiting;
-  for (const auto& [id, connection] : connections_)
-    if (connection->idle() || connection->has_partial_request()) waiting.push_back(connection);
-  if (waiting.empty()) return;
-  log_.line("client_room", "connections={}", connections_.size());
-  const auto rank = [at = now()](const ClientConnection& c) {
-    const auto age = at - c.waiting_since();
-    const auto kind = c.idle() && c.has_answered() ? (age >= kMinIdleSeconds ? 0 : 2)
-                      : age >= kFirstByteSeconds   ? 1
-                                                   : 3;
-    return std::pair(kind, c.waiting_since());
+// What speaks against closing a connection that waits for a request, least first: answered connections idle
+// for longer than the protocol guarantees, then those without a complete request although most clients would
+// have sent one by now, then other answered ones, then new ones. Without this order a crowd of clients that
+// only connect would push out the clients at work.
+ClientListener::Rank ClientListener::rank_of(const ClientConnection& connection, double now) {
+  const auto age = now - connection.waiting_since();
+  if (connection.idle() && connection.has_answered())
+    return age >= kMinIdleSeconds ? Rank::idle_for_long : Rank::idle;
+  return age >= kFirstByteSeconds ? Rank::late_request : Rank::just_connected;
+}
+
+// Closes one connection that waits for a request, by its rank. A connection with unread bytes in its socket,
+// possibly a request, is skipped for the next best; only the first few are checked, as each check is a system
+// call.
+ClientListener::RoomResult ClientListener::make_room(Ranks ranks) {
+  struct Candidate {
+    Rank rank;
+    double waiting_since;
+    std::shared_ptr<ClientConnection> connection;
   };
+  std::vector<Candidate> candidates;
+  for (const auto at = now(); const auto& [id, connection] : connections_) {
+    if (!connection->idle() && !connection->has_partial_request()) continue;
+    const auto rank = rank_of(*connection, at);
+    if (ranks == Ranks::except_new && rank == Rank::just_connected) continue;
+    candidates.push_back({rank, connection->waiting_since(), connection});
+  }
   const auto checked_end =
-      waiting.begin() + static_cast<std::ptrdiff_t>(std::min(waiting.size(), kMaxUnreadChecks));
-  std::partial_sort(waiting.begin(), checked_end, waiting.end(),
-                    [&](const auto& a, const auto& b) { return rank(*a) < rank(*b); });
-  const auto first =
-      std::find_if(waiting.begin(), checked_end, [](const auto& c) { return !c->has_unread_bytes(); });
-  if (first == checked_end) return (*std::prev(checked_end))->close(Shut::room);
-  if ((*first)->has_partial_request()) return (*first)->reject_partial_request(Shut::room, 503, "no room");
-  (*first)->close_idle(Shut::room);
+      candidates.begin() + static_cast<std::ptrdiff_t>(std::min(candidates.size(), kMaxUnreadChecks));
+  std::partial_sort(candidates.begin(), checked_end, candidates.end(), [](const auto& a, const auto& b) {
+    return std::pair(a.rank, a.waiting_since) < std::pair(b.rank, b.waiting_since);
+  });
+  const auto chosen = std::find_if(candidates.begin(), checked_end,
+                                   [](const auto& c) { return !c.connection->has_unread_bytes(); });
+  if (chosen == checked_end) return candidates.empty() ? RoomResult::none : RoomResult::unread;
+  log_.line("client_room", "connections={}", connections_.size());
+  if (chosen->connection->has_partial_request()) {
+    chosen->connection->reject_partial_request(Shut::room, 503, "no room");
+  } else {
+    chosen->connection->close_idle(Shut::room);
+  }
+  return RoomResult::made;
 }
 
 void ClientListener::answer(int connection, int status, std::string_view body, double retry_after) {
--- a/src/clients/listener.hpp
+++ b/src/clients/listener.hpp
@@ -24,7 +24,8 @@
                                double b) = 0;
   };
 
-  // From make_room_from connections on, one connection that waits for a request is closed for each new one.
+  // From make_room_from connections on, one connection that waits for a request is closed for each new one,
+  // but none that has only just connected while there are less than max_connections.
   ClientListener(boost::asio::io_context& context, TimerQueue& timers, std::size_t max_connections,
                  std::size_t make_room_from, Log& log, RequestHandler& handler);
   ~ClientListener();
@@ -40,6 +41,11 @@
   std::size_t connections() const { return connections_.size(); }
 
  private:
+  enum class Rank { idle_for_long, late_request, idle, just_connected };
+  enum class Ranks { all, except_new };
+  // made: a connection was closed or is being closed. unread: each that could be closed may have a request.
+  enum class RoomResult { made, unread, none };
+
   void request_received(ClientConnection& connection, const ClientConnection::Request& request) override;
   void client_disconnected(ClientConnection& connection) override;
   void connection_closed(ClientConnection& connection) override;
@@ -50,7 +56,8 @@
   void accept();
   void accept_later(double at);
   void admit(boost::asio::ip::tcp::socket socket);
-  void make_room();
+  static Rank rank_of(const ClientConnection& connection, double now);
+  RoomResult make_room(Ranks ranks);
 
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/tests/ending_test.cpp
+++ b/tests/ending_test.cpp
@@ -136,6 +136,28 @@
   CHECK(!idle[0]->closed);
 }
 
+// Guards against requests without an answer: clients of a router that died came to another one together, and
+// it reset those that it had just accepted, unread, to make room that was not needed.
+TEST_CASE("clients that connect together with a request are all served while there are descriptors") {
+  constexpr int kBusyClients = 40, kNewClients = 12, kSockets = 160;  // room is made from 40 connections on
+  TestCluster cluster(3, kSockets);
+  PendingParts pending;
+  hold_all_parts(cluster, pending);
+  std::vector<std::unique_ptr<TestClient>> clients;
+  const auto connect = [&](int count) {
+    for (int i = 0; i < count; ++i) {
+      clients.push_back(std::make_unique<TestClient>(cluster));
+      clients.back()->send(query_request("look", {1}, "q" + std::to_string(clients.size())));
+    }
+  };
+  connect(kBusyClients);
+  REQUIRE(cluster.wait_until([&] { return pending.size() >= kBusyClients; }));
+  connect(kNewClients);  // the router finds all of them at once
+  REQUIRE(cluster.wait_until([&] { return pending.size() >= kBusyClients + kNewClients; }, 2));
+  answer_all_parts(pending);
+  for (const auto& client : clients) CHECK(client->answer() == 200);
+}
+
 TEST_CASE("at the limit of connections a new one is accepted once another one has its answer") {
   TestCluster cluster(3, 64);
   PendingParts pending;
