Drop a deduplicated part that was given up while the kernel holds it

As long as another call kept the connection open, the first one was delivered when the node came back, with the cancellation behind it, and the part took effect twice.

A part that nodes deduplicate is marked as such when it is handed to the pool.

--- a/src/datanodes/connection.cpp
+++ b/src/datanodes/connection.cpp
@@ -277,10 +277,13 @@
   return static_cast<std::uint64_t>(count);
 }
 
-bool NodeConnection::is_undelivered(const std::string& id) {
+std::uint64_t NodeConnection::frame_end(const std::string& id) const {
   const auto call = pending_calls_.find(id);
-  return state_ == State::open && call != pending_calls_.end() && call->second.written() &&
-         call->second.frame_end + unacknowledged_bytes() > written_bytes_;
+  return call == pending_calls_.end() ? 0 : call->second.frame_end;
+}
+
+bool NodeConnection::is_undelivered(std::uint64_t frame_end) {
+  return state_ == State::open && frame_end + unacknowledged_bytes() > written_bytes_;
 }
 
 // --- reading
--- a/src/datanodes/connection.hpp
+++ b/src/datanodes/connection.hpp
@@ -32,8 +32,9 @@
   int shard = 0;
   std::string options;  // appended to the deadline in the part's line, such as ",k=5c0f"
   std::shared_ptr<const std::string> text;
-  double expires_at = 0;     // the answer is useless from then on; the node is sent the time left until then
-  double send_deadline = 0;  // a part whose frame has not been written completely by then is never sent
+  double expires_at = 0;      // the answer is useless from then on; the node is sent the time left until then
+  double send_deadline = 0;   // a part whose frame has not been written completely by then is never sent
+  bool deduplicated = false;  // nodes drop its repeats for a time: if it arrives late, it takes effect again
 };
 
 class NodeConnection : public std::enable_shared_from_this<NodeConnection> {
@@ -78,9 +79,11 @@
   // `unwritten`.
   void close(Closing reason, std::string_view message, Outcome written = Outcome::disconnected,
              Outcome unwritten = Outcome::unreachable);
-  // Whether the whole frame of this part was written, and the node's machine has not acknowledged all of it:
-  // the rest may still arrive at any time until the connection is closed.
-  bool is_undelivered(const std::string& id);
+  // The position of the end of this part's frame in all bytes written; 0: it was not written completely.
+  std::uint64_t frame_end(const std::string& id) const;
+  // Whether the node's machine has not acknowledged all bytes up to this position: they may still arrive at
+  // any time until the connection is closed.
+  bool is_undelivered(std::uint64_t frame_end);
   // Requests a load report of the node. False: it can't be requested now, or an earlier request is still
   // pending.
   bool request_load(double now);
@@ -94,7 +97,7 @@
   struct PendingCall {
     CallRef ref;
     double sent_at = 0;           // when it was passed to send()
-    std::uint64_t frame_end = 0;  // position of the end of its frame in all bytes written; 0: not written yet
+    std::uint64_t frame_end = 0;  // see frame_end()
 
     bool written() const { return frame_end > 0; }
   };
--- a/src/datanodes/pool.cpp
+++ b/src/datanodes/pool.cpp
@@ -58,6 +58,7 @@
   const auto ref = part.ref;
   auto& call = pending_calls_[ref];
   call.id = part.id;
+  call.deduplicated = part.deduplicated;
   call.timeout_timer = timers_.new_key();
   const auto at = now();
   part.expires_at = at + timeout;
@@ -128,7 +129,9 @@
   const auto id = pending->second.id;  // a copy: closing the connection may erase the pending call
   if (connection && !connection->withdraw(id)) {
     const auto node = connection->node();
+    const auto frame_end = pending->second.deduplicated ? connection->frame_end(id) : 0;
     if (connection->cancel(id)) open_in_advance(node);
+    if (frame_end > 0) check_delivery_later(connection, frame_end, now());
   } else {
     outcome = outcome == Outcome::timed_out ? Outcome::unreachable : Outcome::unsent;
   }
@@ -147,18 +150,21 @@
   withdraw(ref);
   const auto pending = pending_calls_.find(ref);
   if (pending == pending_calls_.end()) return;
-  timers_.schedule(pending->second.send_timer, now + kDeliverySeconds,
-                   [this, ref](double) { on_delivery_timeout(ref); });
-}
-
-// The kernel holds the part for a node that takes nothing. It would deliver it whenever the node comes back,
-// also after the time in which the node drops repeats of the part.
-void ConnectionPool::on_delivery_timeout(const CallRef& ref) {
-  const auto pending = pending_calls_.find(ref);
-  if (pending == pending_calls_.end()) return;
-  const auto connection = pending->second.connection.lock();
-  if (connection && connection->is_undelivered(pending->second.id))
-    connection->close(Closing::broken, "a part with a send timeout was not received in time");
+  if (const auto connection = pending->second.connection.lock())
+    check_delivery_later(connection, connection->frame_end(pending->second.id), now);
+}
+
+// The kernel may hold a part for a node that takes nothing. It would deliver it whenever the node comes back,
+// also after the time in which nodes drop repeats of the part.
+void ConnectionPool::check_delivery_later(const std::shared_ptr<NodeConnection>& connection,
+                                          std::uint64_t frame_end, double now) {
+  if (!connection->is_undelivered(frame_end)) return;
+  timers_.schedule(timers_.new_key(), now + kDeliverySeconds,
+                   [weak = std::weak_ptr(connection), frame_end](double) {
+                     const auto still_open = weak.lock();
+                     if (still_open && still_open->is_undelivered(frame_end))
+                       still_open->close(Closing::broken, "a deduplicated part was not received in time");
+                   });
 }
 
 void ConnectionPool::cancel_unsent(long long query) {
--- a/src/datanodes/pool.hpp
+++ b/src/datanodes/pool.hpp
@@ -42,8 +42,9 @@
   bool has_connection(int node) const;
   // Queues a part until flush(). The parts of one group that are queued between two calls of flush() are sent
   // to the node as one call. The part ends with a timeout after `timeout` seconds. If its frame has not been
-  // written completely within `send_timeout` seconds, it is never sent; if the node's machine has not
-  // received all of it kDeliverySeconds later, its connection is closed.
+  // written completely within `send_timeout` seconds, it is never sent. A connection on which the node's
+  // machine has not received all of a deduplicated part is closed kDeliverySeconds after its send timeout or
+  // its end.
   void send(int node, int group, OutgoingPart part, double timeout, double send_timeout);
   void flush();
   void request_loads();  // one load report from each node with an open connection
@@ -62,13 +63,15 @@
   struct PendingCall {
     std::weak_ptr<NodeConnection> connection;
     std::string id;
+    bool deduplicated = false;
     TimerQueue::Key timeout_timer = 0;
     TimerQueue::Key send_timer = 0;  // 0: none, as the send timeout is not shorter than the timeout
   };
 
   void withdraw(const CallRef& ref);
   void on_send_timeout(const CallRef& ref, double now);
-  void on_delivery_timeout(const CallRef& ref);
+  void check_delivery_later(const std::shared_ptr<NodeConnection>& connection, std::uint64_t frame_end,
+                            double now);
   void call_ended(const CallRef& ref, Outcome outcome, double score, std::string_view value) override;
   void opened(NodeConnection& connection, double connect_seconds) override;
   void closed(NodeConnection& connection, Closing reason, std::string_view message) override;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -672,9 +672,9 @@
   std::string options;
   if (!query_state.key.empty()) options += ",k=" + query_state.key;
   if (send.leaf >= query_state.second_step_begin) options += query_state.second_step_options;
-  pool_.send(send.node, send.batch,
-             {{query, send.leaf, call}, part.id, part.shard, std::move(options), query_state.text},
-             send.timeout, send.max_send_delay);
+  OutgoingPart outgoing{{query, send.leaf, call}, part.id, part.shard, std::move(options), query_state.text};
+  outgoing.deduplicated = !query_state.key.empty();
+  pool_.send(send.node, send.batch, std::move(outgoing), send.timeout, send.max_send_delay);
 }
 
 void Router::cancel(long long query, const Cancel& cancel) {
--- a/tests/node_connection_test.cpp
+++ b/tests/node_connection_test.cpp
@@ -57,10 +57,15 @@
   explicit PoolWithNode(double idle_timeout = 15) : limits{kMaxParts, 1, 1, idle_timeout} {
     pool.set_node(0, acceptor.local_endpoint(), 0, false);
   }
-  void send(long long query, std::string text, double timeout = 3, double send_timeout = kNoSendTimeout) {
-    const auto id = "q" + std::to_string(query) + ".0";
-    pool.send(0, 0, {{query, 0, 0}, id, 0, "", std::make_shared<const std::string>(std::move(text))}, timeout,
-              send_timeout);
+  void send(long long query, std::string text, double timeout = 3, double send_timeout = kNoSendTimeout,
+            bool deduplicated = false) {
+    OutgoingPart part{{query, 0, 0},
+                      "q" + std::to_string(query) + ".0",
+                      0,
+                      "",
+                      std::make_shared<const std::string>(std::move(text))};
+    part.deduplicated = deduplicated;
+    pool.send(0, 0, std::move(part), timeout, send_timeout);
     pool.flush();
   }
   void run_for(std::chrono::milliseconds duration) {
@@ -376,6 +381,22 @@
   CHECK(router.outcomes.by_query[1] == Outcome::success);
 }
 
+// Guards against a deduplicated part that takes effect twice: its first call was given up while the kernel
+// held it for a node that took nothing, and was delivered after the part had run elsewhere.
+TEST_CASE("a deduplicated part that was given up while the kernel holds it is not delivered later") {
+  PoolWithNode router;
+  router.acceptor.set_option(asio::socket_base::receive_buffer_size(kSmallReceiveBufferBytes));
+  auto node = router.connect();  // query 0 stays pending
+  router.send(1, std::string(kLargeTextBytes, 'x'), 0.2, kNoSendTimeout, true);
+  SUBCASE("cancelled") {
+    router.pool.cancel({1, 0, 0}, Outcome::cancelled);
+  }
+  SUBCASE("timed out") {}
+  REQUIRE(router.run_until([&] { return router.ended(0); }));
+  CHECK(router.outcomes.by_query[0] == Outcome::disconnected);
+  CHECK(complete_frames(PoolWithNode::read_buffered(node)) == 0);
+}
+
 // Guards against parts that start after their query has ended: an orderly close let the kernel send what it
 // held.
 TEST_CASE("what the kernel holds of cancelled parts is not delivered once their connection is closed") {
