--- a/src/queries/answer_values.cpp
+++ b/src/queries/answer_values.cpp
@@ -24,9 +24,4 @@
   return dropped_leaf;
 }
 
-void AnswerValues::clear() {
-  entries_.clear();
-  bytes_ = 0;
-}
-
 }  // namespace yoketurn
--- a/src/queries/answer_values.hpp
+++ b/src/queries/answer_values.hpp
@@ -19,7 +19,6 @@
   // `bytes`: what the value takes in the answer. `weight`: the part's share of the answer. Returns the part
   // whose value was dropped; kNone: all fit.
   int add(int leaf, double weight, std::size_t bytes, std::string value);
-  void clear();
 
   std::size_t bytes() const { return bytes_; }
   // Calls visit(leaf, value) for each value, by leaf in ascending order.
