Close a connection on which the node was not heard yet when a part on it is cancelled

Cause: NodeConnection::cancel closes a connection that is silent since the part was sent, if nothing else is out on it. Establishing the connection counted as hearing from the node, so a part that had waited for it did not find it silent; and with other calls out it was kept.

Only what the node sends counts now. A connection on which it was not heard yet is closed when a part on it is cancelled, its query ends or its client leaves; its other calls end as cancelled and go elsewhere. It stays if one of them has a side effect and must not be sent again.

"a connection on which the node was not heard yet is closed ..." failed in its first two subcases without the change. The suites network and router passed.

--- a/src/datanodes/connection.cpp
+++ b/src/datanodes/connection.cpp
@@ -61,7 +61,7 @@
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
   state_ = State::open;
-  last_used_ = last_received_ = now();
+  last_used_ = now();
   owner_.opened(*this, last_used_ - connect_started_at_);
   wait_readable();
   write_after_reads();
@@ -111,7 +111,7 @@
 }
 
 void NodeConnection::send(std::vector<OutgoingPart> parts, double now) {
-  for (const auto& part : parts) pending_calls_[part.id] = {part.ref, now, 0};
+  for (const auto& part : parts) pending_calls_[part.id] = {part.ref, now, part.effect, 0};
   queued_calls_.push_back(std::move(parts));
   last_used_ = now;
   if (state_ == State::open) timers_.cancel(timer_key_);
@@ -233,6 +233,11 @@
   }
 }
 
+bool NodeConnection::may_repeat_all_pending() const {
+  return std::none_of(pending_calls_.begin(), pending_calls_.end(),
+                      [](const auto& call) { return call.second.effect == Effect::side_effecting; });
+}
+
 bool NodeConnection::is_partially_written(const std::string& id) const {
   return std::any_of(partial_frame_.parts.begin(), partial_frame_.parts.end(),
                      [&](const OutgoingPart& part) { return part.id == id; });
@@ -372,9 +377,16 @@
   // If the node's machine or the network path to it has vanished, its connections stay open but silent. Each
   // new call on them would be lost until its timeout, and the routing policy would take the node itself for
   // silent. A new connection is established or fails soon; if the node is only slow, this costs one
-  // handshake.
+  // handshake. On a connection that was only just established the node may still be in its handshake: it
+  // would read the part after that, and the cancellation only behind it.
   const auto silent = last_received_ < pending->second.sent_at;
   pending_calls_.erase(pending);
+  if (state_ == State::open && !heard() && may_repeat_all_pending()) {
+    const auto retires = !retired_;
+    close(Closing::retired, "a call was cancelled before the node was heard", Outcome::cancelled,
+          Outcome::unsent);
+    return retires;
+  }
   cancelled_ids_.insert(id);
   // A cancelled part whose answer never arrives occupies a slot for good: once that holds for more than half
   // of the slots, a new connection replaces this one.
--- a/src/datanodes/connection.hpp
+++ b/src/datanodes/connection.hpp
@@ -32,9 +32,9 @@
   int shard = 0;
   std::string options;  // appended to the deadline in the part's line, such as ",k=5c0f"
   std::shared_ptr<const std::string> text;
-  double expires_at = 0;      // the answer is useless from then on; the node is sent the time left until then
-  double send_deadline = 0;   // a part whose frame has not been written completely by then is never sent
-  bool deduplicated = false;  // nodes drop its repeats for a time: if it arrives late, it takes effect again
+  double expires_at = 0;     // the answer is useless from then on; the node is sent the time left until then
+  double send_deadline = 0;  // a part whose frame has not been written completely by then is never sent
+  Effect effect = Effect::repeatable;
 };
 
 class NodeConnection : public std::enable_shared_from_this<NodeConnection> {
@@ -67,6 +67,8 @@
   void send(std::vector<OutgoingPart> parts, double now);
   // Sends the node a cancellation. The owner isn't notified of this call any more; an answer that still
   // arrives is dropped. Returns true if this made the connection retire: it takes no new calls from now on.
+  // A cancellation can't overtake the node's handshake: before it is heard, the connection is closed instead,
+  // and its other calls end as `cancelled`, unless one of them must not be sent again.
   bool cancel(const std::string& id);
   // Withdraws a part. Returns true if its frame was not written completely, and never will be: the node can't
   // run it, and the owner isn't notified of it any more.
@@ -91,12 +93,16 @@
   int node() const { return node_; }
   bool idle() const { return pending_calls_.empty(); }
   double last_used() const { return last_used_; }
+  // Whether the node has sent anything. Until then it may be in its handshake, and reads what was written
+  // after it.
+  bool heard() const { return last_received_ > 0; }
 
  private:
   enum class State { created, connecting, open, closed };
   struct PendingCall {
     CallRef ref;
-    double sent_at = 0;           // when it was passed to send()
+    double sent_at = 0;  // when it was passed to send()
+    Effect effect = Effect::repeatable;
     std::uint64_t frame_end = 0;  // see frame_end()
 
     bool written() const { return frame_end > 0; }
@@ -125,6 +131,7 @@
   std::string encode_call(std::span<const OutgoingPart> parts, double now) const;
   void mark_written(std::span<const OutgoingPart> parts, std::uint64_t frame_end);
   std::uint64_t unacknowledged_bytes();
+  bool may_repeat_all_pending() const;
   bool is_partially_written(const std::string& id) const;
   void abandon_partial_frame();
   void end_as_unsent(std::vector<OutgoingPart> parts);
@@ -148,7 +155,7 @@
   bool waits_writable_ = false;
   bool read_lacked_memory_ = false;  // the last read failed because the kernel had no memory for it
   double last_used_ = 0;             // last send or receive
-  double last_received_ = 0;
+  double last_received_ = 0;         // 0: the node has sent nothing yet
   double connect_started_at_ = 0;
   double load_requested_at_ = 0;  // 0: no report is pending
   std::uint64_t written_bytes_ = 0;
--- a/src/datanodes/pool.cpp
+++ b/src/datanodes/pool.cpp
@@ -58,7 +58,7 @@
   const auto ref = part.ref;
   auto& call = pending_calls_[ref];
   call.id = part.id;
-  call.deduplicated = part.deduplicated;
+  call.effect = part.effect;
   call.timeout_timer = timers_.new_key();
   const auto at = now();
   part.expires_at = at + timeout;
@@ -129,7 +129,7 @@
   const auto id = pending->second.id;  // a copy: closing the connection may erase the pending call
   if (connection && !connection->withdraw(id)) {
     const auto node = connection->node();
-    const auto frame_end = pending->second.deduplicated ? connection->frame_end(id) : 0;
+    const auto frame_end = pending->second.effect == Effect::deduplicated ? connection->frame_end(id) : 0;
     if (connection->cancel(id)) open_in_advance(node);
     if (frame_end > 0) check_delivery_later(connection, frame_end, now());
   } else {
@@ -172,7 +172,13 @@
   for (auto pending = pending_calls_.lower_bound({query, 0, 0});
        pending != pending_calls_.end() && pending->first.query == query; ++pending)
     calls.push_back(pending->first);
-  for (const auto& ref : calls) withdraw(ref);
+  for (const auto& ref : calls) {
+    withdraw(ref);
+    const auto pending = pending_calls_.find(ref);
+    if (pending == pending_calls_.end()) continue;
+    const auto connection = pending->second.connection.lock();
+    if (connection && !connection->heard()) cancel(ref, Outcome::cancelled);
+  }
 }
 
 void ConnectionPool::call_ended(const CallRef& ref, Outcome outcome, double score, std::string_view value) {
--- a/src/datanodes/pool.hpp
+++ b/src/datanodes/pool.hpp
@@ -50,7 +50,8 @@
   void request_loads();  // one load report from each node with an open connection
   // Ends a call with this outcome and sends its node a cancellation; a call that was not sent is withdrawn.
   void cancel(const CallRef& ref, Outcome outcome);
-  // Withdraws all calls of a query whose frames were not written completely.
+  // Withdraws all calls of a query whose frames were not written completely, and cancels those that their
+  // nodes may read only after a handshake.
   void cancel_unsent(long long query);
   std::size_t connection_count() const { return connection_count_; }
 
@@ -63,7 +64,7 @@
   struct PendingCall {
     std::weak_ptr<NodeConnection> connection;
     std::string id;
-    bool deduplicated = false;
+    Effect effect = Effect::repeatable;
     TimerQueue::Key timeout_timer = 0;
     TimerQueue::Key send_timer = 0;  // 0: none, as the send timeout is not shorter than the timeout
   };
--- a/tests/node_connection_test.cpp
+++ b/tests/node_connection_test.cpp
@@ -58,13 +58,13 @@
     pool.set_node(0, acceptor.local_endpoint(), 0, false);
   }
   void send(long long query, std::string text, double timeout = 3, double send_timeout = kNoSendTimeout,
-            bool deduplicated = false) {
+            Effect effect = Effect::repeatable) {
     OutgoingPart part{{query, 0, 0},
                       "q" + std::to_string(query) + ".0",
                       0,
                       "",
                       std::make_shared<const std::string>(std::move(text))};
-    part.deduplicated = deduplicated;
+    part.effect = effect;
     pool.send(0, 0, std::move(part), timeout, send_timeout);
     pool.flush();
   }
@@ -85,12 +85,14 @@
     }
     return true;
   }
-  // Establishes the connection by sending query 0; returns the node's side of it.
+  // Establishes the connection by sending query 0, and has the node be heard; returns the node's side of it.
   tcp::socket connect() {
     send(0, "first");
     REQUIRE(run_until([&] { return outcomes.connections == 1; }));
     auto socket = acceptor.accept();
     CHECK(next_payload(socket).starts_with("q0.0 0 d="));
+    asio::write(socket, asio::buffer(encode_frame('H', "")));
+    run_for(std::chrono::milliseconds(5));
     return socket;
   }
   // Reads the next frame and returns its payload, whatever its type.
@@ -387,7 +389,7 @@
   PoolWithNode router;
   router.acceptor.set_option(asio::socket_base::receive_buffer_size(kSmallReceiveBufferBytes));
   auto node = router.connect();  // query 0 stays pending
-  router.send(1, std::string(kLargeTextBytes, 'x'), 0.2, kNoSendTimeout, true);
+  router.send(1, std::string(kLargeTextBytes, 'x'), 0.2, kNoSendTimeout, Effect::deduplicated);
   SUBCASE("cancelled") {
     router.pool.cancel({1, 0, 0}, Outcome::cancelled);
   }
@@ -439,6 +441,38 @@
   CHECK(PoolWithNode::read_buffered(*node).empty());
 }
 
+// Guards against a part that starts after its query's final answer: it was sent with the connection's
+// handshake, was cancelled as a copy had answered, and the node read it when its handshake was over, the
+// cancellation behind it.
+TEST_CASE("a connection on which the node was not heard yet is closed when a part on it is cancelled") {
+  PoolWithNode router;
+  auto other = Effect::repeatable;
+  const auto start = [&] {
+    router.send(1, "text");  // they wait until the connection is established
+    router.send(2, "text", 3, kNoSendTimeout, other);
+    REQUIRE(router.run_until([&] { return router.outcomes.connections == 1; }));
+    router.run_for(std::chrono::milliseconds(5));
+  };
+  SUBCASE("its copy has answered") {
+    start();
+    router.pool.cancel({1, 0, 0}, Outcome::cancelled);
+  }
+  SUBCASE("its query has ended or its client has disconnected") {
+    start();
+    router.pool.cancel_unsent(1);
+  }
+  SUBCASE("not if another part on it must not be sent again") {
+    other = Effect::side_effecting;
+    start();
+    router.pool.cancel({1, 0, 0}, Outcome::cancelled);
+    CHECK(router.outcomes.closed_connections == 0);
+    return;
+  }
+  CHECK(router.outcomes.closed_connections == 1);
+  CHECK(router.outcomes.by_query[1] == Outcome::cancelled);
+  CHECK(router.outcomes.by_query[2] == Outcome::cancelled);  // it can be sent elsewhere
+}
+
 TEST_CASE("parts that wait for a connection are withdrawn at once when their node drains or is removed") {
   PoolWithNode router;
   router.send(1, "text");
