Give a node 40 ms to be heard before its connection is closed over a cancelled part

The cancellation is sent as before now, and the connection is closed if the node is not heard within 40 ms, less than the protocol's slack.

The test has two subcases more ("not if the node is heard soon after it", 100 ms for the other side).

--- a/src/datanodes/connection.cpp
+++ b/src/datanodes/connection.cpp
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr double kLoadReportTimeoutSeconds = 2;  // a report that is still missing is then requested again
+// For a node to be heard after a part on a new connection was cancelled; a little less than the protocol's
+// slack.
+constexpr double kHandshakeGraceSeconds = 0.04;
 // From building a frame to its last byte: the time left that it tells the node is out of date by as much.
 constexpr double kMaxFrameAgeSeconds = 0.1;
 constexpr std::size_t kMaxReadsPerTurn = 16;  // of one connection, before the event loop goes on with others
@@ -61,8 +64,8 @@
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
   state_ = State::open;
-  last_used_ = now();
-  owner_.opened(*this, last_used_ - connect_started_at_);
+  last_used_ = connected_at_ = now();
+  owner_.opened(*this, connected_at_ - connect_started_at_);
   wait_readable();
   write_after_reads();
 }
@@ -377,16 +380,9 @@
   // If the node's machine or the network path to it has vanished, its connections stay open but silent. Each
   // new call on them would be lost until its timeout, and the routing policy would take the node itself for
   // silent. A new connection is established or fails soon; if the node is only slow, this costs one
-  // handshake. On a connection that was only just established the node may still be in its handshake: it
-  // would read the part after that, and the cancellation only behind it.
-  const auto silent = last_received_ < pending->second.sent_at;
+  // handshake.
+  const auto silent = std::max(last_received_, connected_at_) < pending->second.sent_at;
   pending_calls_.erase(pending);
-  if (state_ == State::open && !heard() && may_repeat_all_pending()) {
-    const auto retires = !retired_;
-    close(Closing::retired, "a call was cancelled before the node was heard", Outcome::cancelled,
-          Outcome::unsent);
-    return retires;
-  }
   cancelled_ids_.insert(id);
   // A cancelled part whose answer never arrives occupies a slot for good: once that holds for more than half
   // of the slots, a new connection replaces this one.
@@ -397,9 +393,20 @@
   if (state_ == State::open && !frame_abandoned_) send_buffer_.append(frame);
   write();
   if (state_ == State::open) close_or_start_idle_timer();
+  if (state_ == State::open && !heard())
+    timers_.schedule_once(now() + kHandshakeGraceSeconds, weak_from_this(),
+                          &NodeConnection::close_if_unheard);
   return retires;
 }
 
+// The node may still be in its handshake. It would read the cancelled part after that, and the cancellation
+// only behind it. The other calls can be sent elsewhere.
+void NodeConnection::close_if_unheard() {
+  if (state_ != State::open || heard() || !may_repeat_all_pending()) return;
+  close(Closing::retired, "a call was cancelled and the node was not heard yet", Outcome::cancelled,
+        Outcome::unsent);
+}
+
 bool NodeConnection::withdraw(const std::string& id) {
   for (auto call = queued_calls_.begin(); call != queued_calls_.end(); ++call) {
     const auto part = std::find_if(call->begin(), call->end(), [&](const auto& p) { return p.id == id; });
--- a/src/datanodes/connection.hpp
+++ b/src/datanodes/connection.hpp
@@ -67,8 +67,8 @@
   void send(std::vector<OutgoingPart> parts, double now);
   // Sends the node a cancellation. The owner isn't notified of this call any more; an answer that still
   // arrives is dropped. Returns true if this made the connection retire: it takes no new calls from now on.
-  // A cancellation can't overtake the node's handshake: before it is heard, the connection is closed instead,
-  // and its other calls end as `cancelled`, unless one of them must not be sent again.
+  // A cancellation can't overtake the node's handshake: if the node is not heard soon after it, the
+  // connection is closed, and its other calls end as `cancelled`, unless one of them must not be sent again.
   bool cancel(const std::string& id);
   // Withdraws a part. Returns true if its frame was not written completely, and never will be: the node can't
   // run it, and the owner isn't notified of it any more.
@@ -131,6 +131,7 @@
   std::string encode_call(std::span<const OutgoingPart> parts, double now) const;
   void mark_written(std::span<const OutgoingPart> parts, std::uint64_t frame_end);
   std::uint64_t unacknowledged_bytes();
+  void close_if_unheard();
   bool may_repeat_all_pending() const;
   bool is_partially_written(const std::string& id) const;
   void abandon_partial_frame();
@@ -157,6 +158,7 @@
   double last_used_ = 0;             // last send or receive
   double last_received_ = 0;         // 0: the node has sent nothing yet
   double connect_started_at_ = 0;
+  double connected_at_ = 0;
   double load_requested_at_ = 0;  // 0: no report is pending
   std::uint64_t written_bytes_ = 0;
   RingBuffer receive_buffer_, send_buffer_;
--- a/tests/node_connection_test.cpp
+++ b/tests/node_connection_test.cpp
@@ -465,9 +465,21 @@
     other = Effect::side_effecting;
     start();
     router.pool.cancel({1, 0, 0}, Outcome::cancelled);
+    router.run_for(std::chrono::milliseconds(100));
     CHECK(router.outcomes.closed_connections == 0);
     return;
   }
+  SUBCASE("not if the node is heard soon after it") {
+    start();
+    auto node = router.acceptor.accept();
+    router.pool.cancel({1, 0, 0}, Outcome::cancelled);
+    answer(node, "q2.0");
+    REQUIRE(router.run_until([&] { return router.ended(2); }));
+    router.run_for(std::chrono::milliseconds(100));
+    CHECK(router.outcomes.closed_connections == 0);
+    return;
+  }
+  router.run_for(std::chrono::milliseconds(45));  // within the protocol's slack of 50 ms
   CHECK(router.outcomes.closed_connections == 1);
   CHECK(router.outcomes.by_query[1] == Outcome::cancelled);
   CHECK(router.outcomes.by_query[2] == Outcome::cancelled);  // it can be sent elsewhere
