--- /dev/null
+++ b/review/standin-2/settings.hpp
@@ -0,0 +1,29 @@
+// Settings of small deployments, with the figures of their site files.
+#pragma once
+
+#include <string>
+
+namespace standin {
+
+struct ArmorCafe {
+  int nodes = 12, routers = 1;
+  long window_ms = 5000;  // in which the nodes drop repeats of a part of modif-commande
+  std::string text() const {
+    const auto n = std::to_string(nodes), shards = std::to_string(2 * nodes);
+    return R"({"balancers":)" + std::to_string(routers) +
+           R"(,"resolution_us":5000,"zone":"rennes","zones":["rennes","brest","vannes"],"worth_by":"work","discovery":"push",)"
+           R"("bounds":{"cancel":true,"max_attempts":3,"may_duplicate":true,"retry_after":true,"max_retry_after_us":500000,)"
+           R"("max_open":400,"streams_per_conn":100,"connect_timeout_us":250000,"conn_idle_us":15000000,"probes":true,"peer_messages":false},)"
+           R"("classes":[)"
+           R"({"name":"bilan-mensuel","semantics":"safe","aim_us":5000000,"deadline_us":10000000,"credit":3.0,"late_worth":0.0},)"
+           R"({"name":"recherche","semantics":"safe","aim_us":2500000,"deadline_us":7500000,"credit":1.0,"late_worth":0.3},)"
+           R"({"name":"modif-commande","semantics":"keyed","key_scope":"all","aim_us":2000000,"deadline_us":5000000,"credit":2.0,"late_worth":0.1,"window_us":)" +
+           std::to_string(window_ms * 1000) +
+           R"(}],"customers":[],)"
+           R"("contract":{"answer_slack_us":20000,"drain_grace_us":1000000,"cold_us":13000000,"fall_multiple":2.5,"overload_for_us":1000000,"start_capacity":0.28},)"
+           R"("domain":{"places":)" + n + R"(,"span":4,"slices":)" + shards +
+           R"(,"parts_a_call":1,"per_call_work_us":0,"min_share":[1.0,1.0,1.0],"whole_at":[1.0,1.0,1.0],"partial_earns":[1.0,1.0,1.0],"second_step":[5,0,0]}})";
+  }
+};
+
+}  // namespace standin
