--- a/review/standin-2/standin.hpp
+++ b/review/standin-2/standin.hpp
@@ -557,6 +557,7 @@
   std::string name = "n0", zone = "a", settings, known;
   int discovery = 0;
   std::string folder;  // a temporary one
+  long memory_mb = 192, sockets = 1024;
 };
 
 class Router {
@@ -573,7 +574,8 @@
   void write_config(int discovery) const {
     std::ofstream(config_path()) << R"({"name":")" << options_.name << R"(","listen":"127.0.0.1:)" << port
                                  << R"(","discovery":"127.0.0.1:)" << discovery << R"(","seed":"8c1f30d27a5b)"
-                                 << (1000 + (::getpid() + port) % 9000) << R"(","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":)"
+                                 << (1000 + (::getpid() + port) % 9000) << R"(","limits":{"cores":1.0,"memory_mb":)"
+                                 << options_.memory_mb << R"(,"sockets":)" << options_.sockets << R"(},"known":)"
                                  << options_.known << R"(,"settings":)" << options_.settings << "}\n";
   }
   void start() {
@@ -620,6 +622,7 @@
     return true;
   }
   int status = 0;
+  pid_t pid() const { return pid_; }
 
  private:
   std::string root_;
