--- a/review/standin-2/settings.hpp
+++ b/review/standin-2/settings.hpp
@@ -44,3 +44,22 @@
 }
 
 }  // namespace standin
+
+namespace standin {
+
+inline std::string tregor_lots(int nodes) {
+  const auto n = std::to_string(nodes);
+  return R"({"balancers":2,"resolution_us":5000,"zone":"lannion","zones":["lannion","perros"],"worth_by":"work","discovery":"push",)"
+         R"("bounds":{"cancel":true,"max_attempts":3,"may_duplicate":true,"retry_after":true,"max_retry_after_us":500000,)"
+         R"("max_open":400,"streams_per_conn":100,"connect_timeout_us":250000,"conn_idle_us":15000000,"probes":true,"peer_messages":false},)"
+         R"("classes":[)"
+         R"({"name":"lot-search","semantics":"safe","aim_us":1200000,"deadline_us":2500000,"credit":1.0,"late_worth":0.3},)"
+         R"({"name":"lot-reserve","semantics":"unsafe","aim_us":1000000,"deadline_us":3000000,"credit":1.0,"late_worth":0.0},)"
+         R"({"name":"stock-report","semantics":"safe","aim_us":1200000,"deadline_us":4000000,"credit":5.0,"late_worth":0.1}],"customers":[],)"
+         R"("contract":{"answer_slack_us":20000,"drain_grace_us":250000,"cold_us":17000000,"fall_multiple":2.5,"overload_for_us":3000000,"start_capacity":0.21,)"
+         R"("ratio_span_us":10000000,"min_extra":5,"budget_share":0.2},)"
+         R"("domain":{"places":)" + n + R"(,"span":3,"slices":)" + n +
+         R"(,"parts_a_call":1,"per_call_work_us":0,"min_share":[1.0,1.0,0.8],"whole_at":[1.0,1.0,1.0],"partial_earns":[1.0,1.0,0.8],"second_step":[0,0,0]}})";
+}
+
+}  // namespace standin
