--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,7 +6,10 @@
 temporary=$(mktemp -d) || exit 2
 trap 'rm -rf "$temporary"' EXIT
 [ -x "$program" ] || { echo "run review/build-2.sh first"; exit 2; }
-timeout -s KILL 115 "$program" "$root" "$folder" "$temporary"
+timeout -k 1 115 "$program" "$root" "$folder" "$temporary" &
+running=$!
+trap 'kill "$running"; wait "$running"; rm -rf "$temporary"; exit 2' INT TERM
+wait "$running"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
