Refuse an answer whose line takes in the head of the next frame

Cause: an answer that breaks off in its load report is completed by the bytes behind it. parse_part_answer looked for the zero bytes of a swallowed frame's head in the value alone; the report was passed over unread, up to the line end of the second answer.

The new tests fail before, at each cut inside of the report.

Change: the line of an answer, whose load report may be any text, has to be printable ASCII. A frame is shorter than 16 MiB, so its head begins with a zero byte, and whatever byte an answer breaks off at, that byte is seen. The same for a load report (M).

--- a/src/datanodes/connection.cpp
+++ b/src/datanodes/connection.cpp
@@ -350,6 +350,7 @@
 bool NodeConnection::process_frame(const Frame& frame) {
   if (frame.type == 'H') return true;  // the answer to a probe; this router sends none
   if (frame.type == 'M') {
+    if (!is_printable_ascii(frame.payload)) return false;  // it takes in the next frame
     if (load_requested_at_ > 0)
       owner_.load_reported(*this, frame.payload, std::exchange(load_requested_at_, 0));
     return true;
--- a/src/datanodes/frames.cpp
+++ b/src/datanodes/frames.cpp
@@ -21,6 +21,10 @@
   return result;
 }
 
+bool has_control_character(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), [](unsigned char c) { return c < ' '; });
+}
+
 // The length field at the head of the buffer. Bytes that have not been received count as 0, so the result is
 // a lower bound until all four are there.
 std::size_t peek_length(const RingBuffer& buffer) {
@@ -78,16 +82,20 @@
   return FrameStatus::complete;
 }
 
+bool is_printable_ascii(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](unsigned char c) { return c >= ' ' && c <= '~'; });
+}
+
+// If the length field of a frame is too large, or the frame breaks off, its payload takes in the head of the
+// next frame, wherever it ends. The first byte of that head is a control character, as frames are shorter
+// than 16 MiB. So neither the line, of which the load report may be any text, nor the value may hold one.
 std::optional<PartAnswer> parse_part_answer(std::string_view payload) {
   const auto line_end = payload.find('\n');
   if (line_end == std::string_view::npos) return std::nullopt;
   auto line = payload.substr(0, line_end);
   PartAnswer answer;
   answer.value = payload.substr(line_end + 1);
-  // If a node sends a length that is too large, the value swallows the head of the next frame. Its length
-  // field contains control characters, which a value must not.
-  if (std::any_of(answer.value.begin(), answer.value.end(), [](unsigned char c) { return c < ' '; }))
-    return std::nullopt;
+  if (!is_printable_ascii(line) || has_control_character(answer.value)) return std::nullopt;
   answer.id = take_word(line);
   const auto end = take_word(line);
   const auto score = take_word(line);
--- a/src/datanodes/frames.hpp
+++ b/src/datanodes/frames.hpp
@@ -57,7 +57,11 @@
   std::string_view value;
 };
 
-// Parses the payload of a frame of type R. nullopt: it is malformed. The result refers to the payload.
+// Whether the text has no bytes but those from ' ' to '~'.
+bool is_printable_ascii(std::string_view text);
+
+// Parses the payload of a frame of type R. nullopt: it is malformed. The load report behind the score is not
+// parsed: an answer is valid whatever printable text stands there. The result refers to the payload.
 std::optional<PartAnswer> parse_part_answer(std::string_view payload);
 
 }  // namespace yoketurn
--- a/tests/network_test.cpp
+++ b/tests/network_test.cpp
@@ -183,6 +183,9 @@
       {"9b.3 done x -\n", false, Outcome::failure, 0, ""},
       {"9b.3 done inf -\n", false, Outcome::failure, 0, ""},
       {"9b.3 done 1 -\nval\x01ue", false, Outcome::failure, 0, ""},
+      {"9b.3 done 1 in=?,;=x ~\nvalue", true, Outcome::success, 1, "value"},  // a report that can't be read
+      {"9b.3 done 1 infl\x01\nvalue", false, Outcome::failure, 0, ""},
+      {"9b.3 done 1 infl\xb2\nvalue", false, Outcome::failure, 0, ""},
       {"9b.3 done", false, Outcome::failure, 0, ""},
       {"\n", false, Outcome::failure, 0, ""},
   };
@@ -198,6 +201,28 @@
   }
 }
 
+// Guards against a value made for another part: an answer broke off in its load report, and the bytes of the
+// next answer on the connection completed it.
+TEST_CASE("an answer that breaks off at any byte is never completed by the frame behind it") {
+  const auto other_value = [](std::size_t length) { return std::string(length, 'f'); };
+  const std::string second_heads[] = {"b.2 done 8 -\n", "b.2 done 8 inflight=12\n", "b.2 failed - x\n"};
+  for (const auto& first : {encode_frame('R', "a.1 done 7 inflight=3,util=0.61\n5be2a07c19f04d63"),
+                            encode_frame('R', "a.1 done 7 -\n"), encode_frame('R', "a.1 full 0 -\n")})
+    for (std::size_t cut = 1; cut < first.size(); ++cut)
+      for (const auto& head : second_heads)
+        for (std::size_t value_length = 0; value_length <= first.size(); ++value_length) {
+          CAPTURE(cut);
+          CAPTURE(head);
+          CAPTURE(value_length);
+          RingBuffer ring(kMaxFrameBytes);
+          ring.append(first.substr(0, cut));
+          ring.append(encode_frame('R', head + other_value(value_length)));
+          Frame frame;
+          if (decode_frame(ring, frame) != FrameStatus::complete || frame.type != 'R') continue;
+          CHECK(!parse_part_answer(frame.payload));
+        }
+}
+
 TEST_CASE("the entries of a list are told as complete, however its bytes are split and whatever they hold") {
   const std::string list =
       R"({"a":[1,{"b":2}],"note":"}]{\"","servers":[{"id":"s-}1","o":{"x":[{}]}}, {"id":"s\\"},{}],"version":4})";
--- a/tests/node_connection_test.cpp
+++ b/tests/node_connection_test.cpp
@@ -228,6 +228,34 @@
   CHECK(router.outcomes.by_query[1] == Outcome::unreachable);  // no byte of it was taken
 }
 
+// Guards against a value made for another part: see "an answer that breaks off at any byte ...".
+TEST_CASE(
+    "an answer that breaks off in its load report ends the connection, and no part gets a value of it") {
+  PoolWithNode router;
+  auto node = router.connect();
+  router.send(1, "text");
+  router.send(2, "text");
+  const auto other = encode_frame('R', "q2.0 done 8 -\nvalue");
+  const std::string line = "q1.0 done 7 infl";
+  const auto first = encode_frame('R', line + std::string(other.size(), 'x'));
+  asio::write(node, asio::buffer(first.substr(0, first.size() - other.size()) + other));
+  REQUIRE(router.run_until([&] { return router.outcomes.closed_connections == 1; }));
+  CHECK(router.outcomes.by_query[1] == Outcome::malformed);
+  CHECK(router.outcomes.by_query[2] == Outcome::malformed);
+}
+
+TEST_CASE("a load report that breaks off doesn't take in the answer behind it") {
+  PoolWithNode router;
+  auto node = router.connect();
+  router.send(1, "text");
+  router.pool.request_loads();
+  const auto other = encode_frame('R', "q1.0 done 8 -\nvalue");
+  const auto report = encode_frame('M', "infl" + std::string(other.size(), 'x'));
+  asio::write(node, asio::buffer(report.substr(0, report.size() - other.size()) + other));
+  REQUIRE(router.run_until([&] { return router.ended(1); }));
+  CHECK(router.outcomes.by_query[1] == Outcome::malformed);
+}
+
 TEST_CASE("all parts that wait for a full socket are withdrawn when their clients disconnect") {
   PoolWithNode router;
   auto node = router.connect();
