Write one call to a connection until its node is heard; let the rest wait

Cause: a node reads nothing before its handshake is over, and then all that was written meanwhile, a part before its cancellation. The router wrote any number of calls to such a connection. To take one back it had to close it, which ends the others too, so it did not where one of these must not be sent again (may_repeat_all_pending).

Change: one call is written until the node is heard. Those behind it wait in the router, can be withdrawn whatever else is out, and go elsewhere after the connect timeout, without an attempt spent. Closing the connection over the first call ends no other one, so the exception is gone, and a call is no longer reported as cancelled for its query's end alone.

--- a/src/datanodes/connection.cpp
+++ b/src/datanodes/connection.cpp
@@ -19,8 +19,7 @@
 namespace {
 
 constexpr double kLoadReportTimeoutSeconds = 2;  // a report that is still missing is then requested again
-// For a node to be heard after a part on a new connection was cancelled; a little less than the protocol's
-// slack.
+// For a node to be heard after a part on a new connection was given up; less than the protocol's slack.
 constexpr double kHandshakeGraceSeconds = 0.04;
 // From building a frame to its last byte: the time left that it tells the node is out of date by as much.
 constexpr double kMaxFrameAgeSeconds = 0.1;
@@ -74,11 +73,10 @@
   timers_.schedule(timer_key_, at, [weak = weak_from_this()](double now) {
     const auto self = weak.lock();
     if (!self) return;
-    boost::system::error_code ignored;
     if (self->state_ == State::connecting) {
       self->close(Closing::timed_out, "connect timeout");
-    } else if (self->partially_received_ && self->socket_.available(ignored) > 0) {
-      // The rest of the frame may be among the unread bytes: the router is late, not the node.
+    } else if (self->partially_received_ && self->has_unread_bytes()) {
+      // The rest of the frame may be among the unread bytes.
       self->set_timer(now + self->limits_.connect_timeout);
     } else if (self->partially_received_) {
       self->close_malformed();
@@ -106,6 +104,7 @@
   // The node is about to close the idle connection: what is written to it now would end with a reset.
   if (idle() && state_ == State::open && now >= last_used_ + limits_.idle_timeout - limits_.connect_timeout)
     return false;
+  if (awaits_first_answer() && now >= first_call_written_at_ + limits_.connect_timeout) return false;
   if (pending_calls_.size() + cancelled_ids_.size() + parts.size() > limits_.max_parts) return false;
   // An answer names the part, not the call, so two calls of one part can't share a connection.
   return std::none_of(parts.begin(), parts.end(), [&](const OutgoingPart& part) {
@@ -114,7 +113,7 @@
 }
 
 void NodeConnection::send(std::vector<OutgoingPart> parts, double now) {
-  for (const auto& part : parts) pending_calls_[part.id] = {part.ref, now, part.effect, 0};
+  for (const auto& part : parts) pending_calls_[part.id] = {part.ref, now, 0};
   queued_calls_.push_back(std::move(parts));
   last_used_ = now;
   if (state_ == State::open) timers_.cancel(timer_key_);
@@ -128,6 +127,10 @@
 // call that was sent would look unsent. The frame of a call is built only when the socket has room for it:
 // until then the call can be withdrawn, and the time left that the node is sent is current.
 //
+// A node reads nothing before its handshake is over, and then all that was written meanwhile, a part before
+// its cancellation. So only one call is written to a connection before the node is heard on it: to take it
+// back ends no other call, and those that wait behind it can be withdrawn.
+//
 // A node runs a part once the last byte of its frame has arrived. So a frame of which a full socket has taken
 // only the beginning can still be withdrawn: its rest is never written. No other frame can follow it then.
 
@@ -163,10 +166,15 @@
 bool NodeConnection::write_next_call() {
   const auto at = now();
   drop_expired_parts(at);
-  if (queued_calls_.empty()) return false;
+  if (queued_calls_.empty() || awaits_first_answer()) return false;
   const auto frame = encode_call(queued_calls_.front(), at);
   std::size_t written = 0;
   if (!write_some(frame, written)) return false;
+  if (!heard()) {
+    first_call_written_at_ = at;
+    timers_.schedule_once(at + limits_.connect_timeout, weak_from_this(),
+                          &NodeConnection::end_queued_calls_if_unheard);
+  }
   auto call = std::move(queued_calls_.front());
   queued_calls_.pop_front();
   if (written == frame.size()) {
@@ -236,11 +244,6 @@
   }
 }
 
-bool NodeConnection::may_repeat_all_pending() const {
-  return std::none_of(pending_calls_.begin(), pending_calls_.end(),
-                      [](const auto& call) { return call.second.effect == Effect::side_effecting; });
-}
-
 bool NodeConnection::is_partially_written(const std::string& id) const {
   return std::any_of(partial_frame_.parts.begin(), partial_frame_.parts.end(),
                      [&](const OutgoingPart& part) { return part.id == id; });
@@ -296,6 +299,12 @@
 
 // --- reading
 
+// Whether the socket holds bytes that the event loop hasn't come to: the router is late, not the node.
+bool NodeConnection::has_unread_bytes() const {
+  boost::system::error_code ignored;
+  return socket_.available(ignored) > 0;
+}
+
 void NodeConnection::wait_readable() {
   socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const auto& error) {
     if (self->state_ != State::open) return;
@@ -328,8 +337,10 @@
     return false;
   }
   receive_buffer_.commit(count);
+  const auto first_heard = !heard();
   last_used_ = last_received_ = now();
   process_received_frames();
+  if (first_heard) write();
   return state_ == State::open;
 }
 
@@ -394,20 +405,26 @@
   if (state_ == State::open && !frame_abandoned_) send_buffer_.append(frame);
   write();
   if (state_ == State::open) close_or_start_idle_timer();
-  if (state_ == State::open && !heard())
-    timers_.schedule_once(now() + kHandshakeGraceSeconds, weak_from_this(),
-                          &NodeConnection::close_if_unheard);
+  close_unless_heard_soon();
   return retires;
 }
 
-// The node may still be in its handshake. It would read the cancelled part after that, and the cancellation
-// only behind it. The other calls can be sent elsewhere.
+void NodeConnection::close_unless_heard_soon() {
+  if (state_ != State::open || !awaits_first_answer()) return;
+  timers_.schedule_once(now() + kHandshakeGraceSeconds, weak_from_this(), &NodeConnection::close_if_unheard);
+}
+
 void NodeConnection::close_if_unheard() {
-  if (state_ != State::open || heard() || !may_repeat_all_pending()) return;
-  close(Closing::retired, "a call was cancelled and the node was not heard yet", Outcome::cancelled,
+  if (state_ != State::open || heard() || has_unread_bytes()) return;
+  close(Closing::retired, "the node was not heard after its first call was given up", Outcome::cancelled,
         Outcome::unsent);
 }
 
+void NodeConnection::end_queued_calls_if_unheard() {
+  if (state_ != State::open || heard() || has_unread_bytes()) return;
+  end_queued_calls();
+}
+
 bool NodeConnection::withdraw(const std::string& id) {
   for (auto call = queued_calls_.begin(); call != queued_calls_.end(); ++call) {
     const auto part = std::find_if(call->begin(), call->end(), [&](const auto& p) { return p.id == id; });
@@ -453,8 +470,7 @@
 void NodeConnection::close_or_start_idle_timer() {
   if (state_ != State::open || !idle() || partially_received_) return;
   if (retired_)
-    return close(Closing::retired,
-                 frame_abandoned_ ? "a part was withdrawn while its frame was partially written" : "retired");
+    return close(Closing::retired, frame_abandoned_ ? "a partially written frame was abandoned" : "retired");
   // Closed before the node does it: see can_send.
   set_timer(last_used_ + limits_.idle_timeout - limits_.connect_timeout);
 }
--- a/src/datanodes/connection.hpp
+++ b/src/datanodes/connection.hpp
@@ -64,11 +64,11 @@
   // Whether these parts can be sent on this connection.
   bool can_send(std::span<const OutgoingPart> parts, double now) const;
   // Sends the parts as one call, in one frame, as soon as the connection is up and the socket has room.
+  // Until the node is heard only the first call is written. Those behind it wait for that, for
+  // connect_timeout at most, and end as `unsent` then.
   void send(std::vector<OutgoingPart> parts, double now);
   // Sends the node a cancellation. The owner isn't notified of this call any more; an answer that still
   // arrives is dropped. Returns true if this made the connection retire: it takes no new calls from now on.
-  // A cancellation can't overtake the node's handshake: if the node is not heard soon after it, the
-  // connection is closed, and its other calls end as `cancelled`, unless one of them must not be sent again.
   bool cancel(const std::string& id);
   // Withdraws a part. Returns true if its frame was not written completely, and never will be: the node can't
   // run it, and the owner isn't notified of it any more.
@@ -93,16 +93,18 @@
   int node() const { return node_; }
   bool idle() const { return pending_calls_.empty(); }
   double last_used() const { return last_used_; }
-  // Whether the node has sent anything. Until then it may be in its handshake, and reads what was written
-  // after it.
-  bool heard() const { return last_received_ > 0; }
+  // Whether the first call was written and the node has sent nothing yet: it may still be in its handshake.
+  bool awaits_first_answer() const { return first_call_written_at_ > 0 && !heard(); }
+  // Call when a written part is not wanted any more. A node in its handshake would read the part after it,
+  // with the cancellation only behind it: if the node isn't heard soon the connection is closed. The call
+  // that was written ends as `cancelled`, those that wait as `unsent`.
+  void close_unless_heard_soon();
 
  private:
   enum class State { created, connecting, open, closed };
   struct PendingCall {
     CallRef ref;
-    double sent_at = 0;  // when it was passed to send()
-    Effect effect = Effect::repeatable;
+    double sent_at = 0;           // when it was passed to send()
     std::uint64_t frame_end = 0;  // see frame_end()
 
     bool written() const { return frame_end > 0; }
@@ -131,8 +133,10 @@
   std::string encode_call(std::span<const OutgoingPart> parts, double now) const;
   void mark_written(std::span<const OutgoingPart> parts, std::uint64_t frame_end);
   std::uint64_t unacknowledged_bytes();
+  bool heard() const { return last_received_ > 0; }
+  bool has_unread_bytes() const;
   void close_if_unheard();
-  bool may_repeat_all_pending() const;
+  void end_queued_calls_if_unheard();
   bool is_partially_written(const std::string& id) const;
   void abandon_partial_frame();
   void end_as_unsent(std::vector<OutgoingPart> parts);
@@ -159,7 +163,8 @@
   double last_received_ = 0;         // 0: the node has sent nothing yet
   double connect_started_at_ = 0;
   double connected_at_ = 0;
-  double load_requested_at_ = 0;  // 0: no report is pending
+  double first_call_written_at_ = 0;  // 0: none was
+  double load_requested_at_ = 0;      // 0: no report is pending
   std::uint64_t written_bytes_ = 0;
   RingBuffer receive_buffer_, send_buffer_;
   std::deque<std::vector<OutgoingPart>> queued_calls_;  // no byte of them was written
--- a/src/datanodes/pool.cpp
+++ b/src/datanodes/pool.cpp
@@ -167,7 +167,7 @@
                    });
 }
 
-void ConnectionPool::cancel_unsent(long long query) {
+void ConnectionPool::on_query_ended(long long query) {
   std::vector<CallRef> calls;
   for (auto pending = pending_calls_.lower_bound({query, 0, 0});
        pending != pending_calls_.end() && pending->first.query == query; ++pending)
@@ -177,7 +177,7 @@
     const auto pending = pending_calls_.find(ref);
     if (pending == pending_calls_.end()) continue;
     const auto connection = pending->second.connection.lock();
-    if (connection && !connection->heard()) cancel(ref, Outcome::cancelled);
+    if (connection) connection->close_unless_heard_soon();
   }
 }
 
--- a/src/datanodes/pool.hpp
+++ b/src/datanodes/pool.hpp
@@ -50,9 +50,9 @@
   void request_loads();  // one load report from each node with an open connection
   // Ends a call with this outcome and sends its node a cancellation; a call that was not sent is withdrawn.
   void cancel(const CallRef& ref, Outcome outcome);
-  // Withdraws all calls of a query whose frames were not written completely, and cancels those that their
-  // nodes may read only after a handshake.
-  void cancel_unsent(long long query);
+  // Call when a query has ended or its client has disconnected: withdraws its calls whose frames were not
+  // written completely. The others run on, unless their nodes would read them only after a handshake.
+  void on_query_ended(long long query);
   std::size_t connection_count() const { return connection_count_; }
 
  private:
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -648,7 +648,7 @@
   open_ids_.erase(query_state.id);
   open_count_ -= 1 + static_cast<int>(query_state.parts.size());
   query_state.awaits_answer = false;
-  pool_.cancel_unsent(query);
+  pool_.on_query_ended(query);
 }
 
 void Router::send_answer(long long query, int status, std::string_view body, double retry_after) {
