Tests: let nodes be heard where a test wants several calls out on a connection

Their nodes hold back all answers, and the test waits until several parts are at one node. Since a connection takes one call until its node is heard, and the others go elsewhere after the connect timeout, so the parts never were out together.

What the cases check is unchanged: clients that connect together, the limit of connections, calls beside an unreadable answer. Their nodes now send a frame H, by which they are heard, before they hold a part back.

--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -342,6 +342,7 @@
     int parts_until_cut = 2;  // the first part is never answered, the answer to the second one is truncated
     cluster.nodes[0]->on_part = [&, default_handler = cluster.nodes[0]->on_part](const auto& part,
                                                                                  auto& from) {
+      if (parts_until_cut == 2) from.say(encode_frame('H', ""));  // heard, the node gets more than one call
       if (parts_until_cut > 0 && --parts_until_cut == 0)
         from.say(encode_frame('R', part.id + " done 1 -\nq@1").substr(0, cut));
       if (parts_until_cut == 0 && part.id.starts_with("n")) default_handler(part, from);
