Write no call while the kernel holds bytes for a node; ask what ended parts became

Cause: the router gave the kernel every frame for which its send buffer had room, whatever the node's machine took, and what the kernel has can be taken back only with the connection. Whether a frame was received was asked for deduplicated parts at their cancellation or at their window's end, not when a query ended or its client left, and not for other effects.

Change: no call is written while the kernel has unsent bytes (SIOCOUTQNSD), so one frame at most is out of the router's hands, and those behind it can be withdrawn. Whatever ends the interest in a written part (end of the query, client gone, cancellation, timeout, window, drain, removal) asks 0.1 s later whether the node's machine has it, and closes the connection if not. The part's effect plays no role any more and is gone from OutgoingPart.

--- a/src/datanodes/connection.hpp
+++ b/src/datanodes/connection.hpp
@@ -34,7 +34,6 @@
   std::shared_ptr<const std::string> text;
   double expires_at = 0;     // the answer is useless from then on; the node is sent the time left until then
   double send_deadline = 0;  // a part whose frame has not been written completely by then is never sent
-  Effect effect = Effect::repeatable;
 };
 
 class NodeConnection : public std::enable_shared_from_this<NodeConnection> {
@@ -83,6 +82,7 @@
              Outcome unwritten = Outcome::unreachable);
   // The position of the end of this part's frame in all bytes written; 0: it was not written completely.
   std::uint64_t frame_end(const std::string& id) const;
+  std::uint64_t written_bytes() const { return written_bytes_; }
   // Whether the node's machine has not acknowledged all bytes up to this position: they may still arrive at
   // any time until the connection is closed.
   bool is_undelivered(std::uint64_t frame_end);
@@ -132,7 +132,9 @@
   void drop_expired_parts(double now);
   std::string encode_call(std::span<const OutgoingPart> parts, double now) const;
   void mark_written(std::span<const OutgoingPart> parts, std::uint64_t frame_end);
-  std::uint64_t unacknowledged_bytes();
+  std::uint64_t queued_bytes(unsigned long request);
+  bool kernel_has_sent_all();
+  bool set_writable_limit(int bytes);
   bool heard() const { return last_received_ > 0; }
   bool has_unread_bytes() const;
   void close_if_unheard();
--- a/src/datanodes/pool.cpp
+++ b/src/datanodes/pool.cpp
@@ -45,8 +45,10 @@
 
 void ConnectionPool::retire_connections(int node) {
   if (static_cast<std::size_t>(node) >= nodes_.size()) return;
-  for (const auto& connection : std::vector(nodes_[static_cast<std::size_t>(node)].connections))
+  for (const auto& connection : std::vector(nodes_[static_cast<std::size_t>(node)].connections)) {
     connection->retire();
+    check_delivery_later(connection, connection->written_bytes(), now());
+  }
 }
 
 bool ConnectionPool::has_connection(int node) const {
@@ -58,7 +60,6 @@
   const auto ref = part.ref;
   auto& call = pending_calls_[ref];
   call.id = part.id;
-  call.effect = part.effect;
   call.timeout_timer = timers_.new_key();
   const auto at = now();
   part.expires_at = at + timeout;
@@ -129,9 +130,9 @@
   const auto id = pending->second.id;  // a copy: closing the connection may erase the pending call
   if (connection && !connection->withdraw(id)) {
     const auto node = connection->node();
-    const auto frame_end = pending->second.effect == Effect::deduplicated ? connection->frame_end(id) : 0;
+    const auto frame_end = connection->frame_end(id);
     if (connection->cancel(id)) open_in_advance(node);
-    if (frame_end > 0) check_delivery_later(connection, frame_end, now());
+    check_delivery_later(connection, frame_end, now());
   } else {
     outcome = outcome == Outcome::timed_out ? Outcome::unreachable : Outcome::unsent;
   }
@@ -155,16 +156,16 @@
 }
 
 // The kernel may hold a part for a node that takes nothing. It would deliver it whenever the node comes back,
-// also after the time in which nodes drop repeats of the part.
+// though its client has left, its query has its answer, or nodes no longer drop repeats of it.
 void ConnectionPool::check_delivery_later(const std::shared_ptr<NodeConnection>& connection,
                                           std::uint64_t frame_end, double now) {
   if (!connection->is_undelivered(frame_end)) return;
-  timers_.schedule(timers_.new_key(), now + kDeliverySeconds,
-                   [weak = std::weak_ptr(connection), frame_end](double) {
-                     const auto still_open = weak.lock();
-                     if (still_open && still_open->is_undelivered(frame_end))
-                       still_open->close(Closing::broken, "a deduplicated part was not received in time");
-                   });
+  timers_.schedule(
+      timers_.new_key(), now + kDeliverySeconds, [weak = std::weak_ptr(connection), frame_end](double) {
+        const auto still_open = weak.lock();
+        if (still_open && still_open->is_undelivered(frame_end))
+          still_open->close(Closing::broken, "the node takes nothing, and a part is not wanted any more");
+      });
 }
 
 void ConnectionPool::on_query_ended(long long query) {
@@ -177,7 +178,9 @@
     const auto pending = pending_calls_.find(ref);
     if (pending == pending_calls_.end()) continue;
     const auto connection = pending->second.connection.lock();
-    if (connection) connection->close_unless_heard_soon();
+    if (!connection) continue;
+    connection->close_unless_heard_soon();
+    check_delivery_later(connection, connection->frame_end(pending->second.id), now());
   }
 }
 
--- a/src/datanodes/pool.hpp
+++ b/src/datanodes/pool.hpp
@@ -42,16 +42,17 @@
   bool has_connection(int node) const;
   // Queues a part until flush(). The parts of one group that are queued between two calls of flush() are sent
   // to the node as one call. The part ends with a timeout after `timeout` seconds. If its frame has not been
-  // written completely within `send_timeout` seconds, it is never sent. A connection on which the node's
-  // machine has not received all of a deduplicated part is closed kDeliverySeconds after its send timeout or
-  // its end.
+  // written completely within `send_timeout` seconds, it is never sent. If the node's machine has not
+  // received all of a part kDeliverySeconds after its send timeout, its cancellation, the end of its query or
+  // the retirement of its connection, the connection is closed: the part could be run at any time.
   void send(int node, int group, OutgoingPart part, double timeout, double send_timeout);
   void flush();
   void request_loads();  // one load report from each node with an open connection
   // Ends a call with this outcome and sends its node a cancellation; a call that was not sent is withdrawn.
   void cancel(const CallRef& ref, Outcome outcome);
   // Call when a query has ended or its client has disconnected: withdraws its calls whose frames were not
-  // written completely. The others run on, unless their nodes would read them only after a handshake.
+  // written completely. The others run on, unless their nodes have not received them yet or would read them
+  // only after a handshake.
   void on_query_ended(long long query);
   std::size_t connection_count() const { return connection_count_; }
 
@@ -64,7 +65,6 @@
   struct PendingCall {
     std::weak_ptr<NodeConnection> connection;
     std::string id;
-    Effect effect = Effect::repeatable;
     TimerQueue::Key timeout_timer = 0;
     TimerQueue::Key send_timer = 0;  // 0: none, as the send timeout is not shorter than the timeout
   };
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -673,7 +673,6 @@
   if (!query_state.key.empty()) options += ",k=" + query_state.key;
   if (send.leaf >= query_state.second_step_begin) options += query_state.second_step_options;
   OutgoingPart outgoing{{query, send.leaf, call}, part.id, part.shard, std::move(options), query_state.text};
-  outgoing.effect = config_.settings.verticals[static_cast<std::size_t>(query_state.vertical)].effect;
   pool_.send(send.node, send.batch, std::move(outgoing), send.timeout, send.max_send_delay);
 }
 
