--- a/src/datanodes/connection.cpp
+++ b/src/datanodes/connection.cpp
@@ -498,7 +498,8 @@
 void NodeConnection::close_or_start_idle_timer() {
   if (state_ != State::open || !idle() || partially_received_) return;
   if (retired_)
-    return close(Closing::retired, frame_abandoned_ ? "a partially written frame was abandoned" : "retired");
+    return close(Closing::retired,
+                 frame_abandoned_ ? "a part was withdrawn while its frame was partially written" : "retired");
   // Closed before the node does it: see can_send.
   set_timer(last_used_ + limits_.idle_timeout - limits_.connect_timeout);
 }
