Keep a call to discovery open beside the next one until either is answered

Cause: DiscoveryWatch closed a call that had brought nothing after 1, 2 and then always 3 s before it made the next one.

Change: such a call stays open until the next one has waited as long as it may; whichever brings a heartbeat, an entry or a list first is used, the other is closed. Two calls are open at most. When the next call is made is as before, and with it the budget of 6 s.

Both new tests fail before.

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -53,7 +53,7 @@
   }
 
   void fail(std::string_view why) {
-    if (watch != nullptr) watch->lose_connection(why);
+    if (watch != nullptr) watch->connection_failed(*this, why);
   }
   void open(const asio::ip::tcp::endpoint& endpoint) {
     socket.async_connect(endpoint, [self = shared_from_this()](const auto& error) {
@@ -109,13 +109,16 @@
     std::string_view rest(body);
     while (!rest.empty() && watch != nullptr) {
       if (list_bytes == 0 && std::isspace(static_cast<unsigned char>(rest.front())) != 0) {
-        if (rest.front() == '\n') watch->data_received();
+        if (rest.front() == '\n') {
+          watch->use(*this);
+          watch->data_received();
+        }
         rest.remove_prefix(1);
         continue;
       }
       boost::system::error_code error;
       const auto used = list_parser.write_some(rest.data(), rest.size(), error);
-      if (error) return watch->reject_list(error.message());
+      if (error) return watch->reject_list(*this, error.message());
       const auto taken = rest.substr(0, used);
       rest.remove_prefix(used);
       if (!list_parser.done()) {
@@ -126,6 +129,7 @@
       list_progress = {};
       const auto value = list_parser.release();
       list_parser.reset();
+      watch->use(*this);
       watch->process_list(value);
     }
   }
@@ -138,7 +142,10 @@
       fail("list too slow");
       return false;
     }
-    if (list_progress.take(bytes)) watch->list_progressed();
+    if (list_progress.take(bytes)) {
+      watch->use(*this);
+      watch->list_progressed();
+    }
     return true;
   }
 
@@ -163,7 +170,8 @@
       timer_key_(timers.new_key()) {}
 
 DiscoveryWatch::~DiscoveryWatch() {
-  if (connection_) connection_->watch = nullptr;
+  disconnect(connection_);
+  disconnect(unanswered_);
 }
 
 void DiscoveryWatch::start(std::optional<long long> known_version) {
@@ -174,7 +182,8 @@
 // Another agent may number its versions differently, so its full list is requested and replaces the current
 // one.
 void DiscoveryWatch::switch_to(const asio::ip::tcp::endpoint& agent) {
-  disconnect();
+  disconnect(connection_);
+  disconnect(unanswered_);
   agent_ = agent;
   version_.reset();
   awaits_full_list_ = false;
@@ -183,8 +192,11 @@
 }
 
 bool DiscoveryWatch::has_unread_data() const {
-  boost::system::error_code closed;
-  return connection_ && connection_->socket.available(closed) > 0 && !closed;
+  const auto has_unread = [](const auto& connection) {
+    boost::system::error_code closed;
+    return connection && connection->socket.available(closed) > 0 && !closed;
+  };
+  return has_unread(connection_) || has_unread(unanswered_);
 }
 
 void DiscoveryWatch::open() {
@@ -202,7 +214,7 @@
   timers_.schedule(timer_key_, now() + timeout, [this](double) {
     // Data has arrived in time: the router is late, not discovery.
     if (has_unread_data()) return start_silence_timer(kUnreadDataRecheckSeconds);
-    lose_connection("silence");
+    on_silence();
   });
 }
 
@@ -226,7 +238,7 @@
     // The listener may have switched to another connection.
     if (connection_.get() == source) data_received();
   } catch (const InputError& error) {
-    reject_list(error.what());
+    reject_list(*connection_, error.what());
   }
 }
 
@@ -239,7 +251,8 @@
   listener_.list_received(list);
 }
 
-void DiscoveryWatch::reject_list(std::string_view why) {
+void DiscoveryWatch::reject_list(Connection& connection, std::string_view why) {
+  use(connection);
   log_.line("list_unusable", "why=\"{}\"", why);
   awaits_full_list_ = true;
   version_.reset();
@@ -247,16 +260,42 @@
   lose_connection("nonsense");
 }
 
-void DiscoveryWatch::disconnect() {
-  if (!connection_) return;
-  connection_->watch = nullptr;
+void DiscoveryWatch::disconnect(std::shared_ptr<Connection>& connection) {
+  if (!connection) return;
+  connection->watch = nullptr;
   boost::system::error_code ignored;
-  connection_->socket.close(ignored);
-  connection_.reset();
+  connection->socket.close(ignored);
+  connection.reset();
+}
+
+// The connection has received data: the watch goes on with it, and gives up the one opened after it.
+void DiscoveryWatch::use(Connection& connection) {
+  if (unanswered_.get() != &connection) return;
+  disconnect(connection_);
+  connection_ = std::exchange(unanswered_, nullptr);
+  opened_at_ = now();
+}
+
+void DiscoveryWatch::connection_failed(Connection& connection, std::string_view why) {
+  if (unanswered_.get() == &connection) return disconnect(unanswered_);
+  lose_connection(why);
 }
 
 void DiscoveryWatch::lose_connection(std::string_view why) {
-  disconnect();
+  disconnect(connection_);
+  reopen_later(why);
+}
+
+// Discovery may be slow to answer: a call without any data is kept until the next one has waited as long as
+// it may, and whichever is answered first is used.
+void DiscoveryWatch::on_silence() {
+  if (received_data_) return lose_connection("silence");
+  disconnect(unanswered_);
+  unanswered_ = std::exchange(connection_, nullptr);
+  reopen_later("silence");
+}
+
+void DiscoveryWatch::reopen_later(std::string_view why) {
   log_.line("watch_lost", "why=\"{}\" version={}", why, version_.value_or(-1));
   listener_.watch_lost();
   if (received_data_ && now() > opened_at_ + kStableConnectionSeconds) failures_ = 0;
--- a/src/discovery/watch.hpp
+++ b/src/discovery/watch.hpp
@@ -43,7 +43,7 @@
   void switch_to(const boost::asio::ip::tcp::endpoint& agent);
   // Requests the full list from the same agent, on a new connection.
   void request_full_list() { switch_to(agent_); }
-  bool has_unread_data() const;  // in the socket
+  bool has_unread_data() const;  // in a socket
 
  private:
   struct Connection;
@@ -54,9 +54,13 @@
   void list_progressed();
   void process_list(const boost::json::value& value);
   void accept_list(const MemberList& list);
-  void reject_list(std::string_view why);
-  void disconnect();
+  void reject_list(Connection& connection, std::string_view why);
+  static void disconnect(std::shared_ptr<Connection>& connection);
+  void use(Connection& connection);
+  void connection_failed(Connection& connection, std::string_view why);
   void lose_connection(std::string_view why);
+  void on_silence();
+  void reopen_later(std::string_view why);
 
   boost::asio::io_context& context_;
   TimerQueue& timers_;
@@ -66,6 +70,7 @@
   TimerQueue::Key timer_key_;         // silence timeout, or the delay until the connection is opened again
   std::optional<long long> version_;  // of the last list or changes; nullopt: the full list is requested
   std::shared_ptr<Connection> connection_;
+  std::shared_ptr<Connection> unanswered_;  // the one before it, without any data so far
   bool awaits_full_list_ = false;  // after an unusable list, changes are ignored until a full list arrives
   int failures_ = 0;               // consecutive connections that failed early
   double opened_at_ = 0;
--- a/tests/ending_test.cpp
+++ b/tests/ending_test.cpp
@@ -403,6 +403,52 @@
   CHECK(now() - cluster.discovery.last_beat < 6);
 }
 
+// Guards against a discovery that is never heard, as each call was given up before its answer began: removed
+// nodes went on getting parts.
+TEST_CASE("a list is received although discovery takes 3.5 s to begin its answer") {
+  constexpr double kAnswerDelaySeconds = 3.5, kToldSeconds = 6;
+  TestCluster cluster;
+  const auto whole = cluster.list(2, true);
+  std::vector<std::pair<double, std::weak_ptr<toy::Session>>> calls;
+  cluster.discovery.on_watch = [&](toy::Session& session) {
+    calls.emplace_back(now(), session.weak_from_this());
+    return true;
+  };
+  cluster.discovery.break_off();
+  const auto began_at = now();
+  CHECK(cluster.wait_until([&] {
+    for (auto& [called_at, call] : calls) {
+      if (now() < called_at + kAnswerDelaySeconds) continue;
+      if (const auto session = call.lock())
+        session->say(std::string(toy::Discovery::kHead) + toy::Discovery::chunk(whole));
+      call.reset();
+    }
+    return cluster.logged("version=2");
+  }));
+  CHECK(now() - began_at < kToldSeconds);
+}
+
+TEST_CASE(
+    "two calls to a discovery that doesn't answer are open at most, and an invalid answer is given up") {
+  TestCluster cluster;
+  std::vector<std::shared_ptr<toy::Session>> calls;
+  cluster.discovery.on_watch = [&](toy::Session& session) {
+    calls.push_back(session.shared_from_this());
+    return true;
+  };
+  cluster.discovery.break_off();
+  REQUIRE(cluster.wait_until([&] {
+    CHECK(cluster.discovery.open() <= 2);
+    return calls.size() == 3;
+  }));
+  run_for(cluster, 0.05);
+  CHECK(cluster.discovery.open() == 2);
+  calls[1]->say(std::string(toy::Discovery::kHead) + toy::Discovery::chunk("nonsense"));
+  REQUIRE(cluster.wait_until([&] { return calls.size() == 4; }));
+  calls[3]->say(std::string(toy::Discovery::kHead) + toy::Discovery::chunk(cluster.list(2, true)));
+  CHECK(cluster.wait_until([&] { return cluster.logged("version=2"); }));
+}
+
 TEST_CASE("a watch that ends is reopened within 0.1 s, one that keeps ending with growing delays") {
   TestCluster cluster;
   const auto began_at = now();
