Count the time of a pipelined request from its last byte

Cause: a connection's requests are parsed one after another, each when the one before it has its answer, and accept_query counted the time of a request from its parsing. When its bytes had been received was not kept.

Change: a connection keeps when its bytes were received (ArrivalTimes, bounded by the time that they wait), and the deadline is counted from the last byte of the request.

--- a/src/clients/connection.cpp
+++ b/src/clients/connection.cpp
@@ -148,14 +148,20 @@
   if (is_transient(error)) return read();
   if (error) return on_connection_lost();
   in_.commit(count);
+  arrival_times_.add(count, now());
   process_input();
   read();
 }
 
+void ClientConnection::discard_input() {
+  arrival_times_.take(in_.size());
+  in_.consume(in_.size());
+}
+
 void ClientConnection::process_input() {
   if (state_ == State::lingering) {
     drained_bytes_ += in_.size();
-    in_.consume(in_.size());
+    discard_input();
     if (drained_bytes_ > kMaxDrainBytes) close(close_reason_);
     return;
   }
@@ -181,7 +187,9 @@
     }
   }
   boost::system::error_code error;
-  in_.consume(parser_->put(in_.data(), error));
+  const auto parsed = parser_->put(in_.data(), error);
+  in_.consume(parsed);
+  const auto received_at = arrival_times_.take(parsed);
   if (error && error != http::error::need_more) {
     const auto status = error == http::error::body_limit     ? 413
                         : error == http::error::header_limit ? 431
@@ -211,7 +219,7 @@
   const auto request = parser_->release();
   parser_.reset();
   if (rejects_pipelined_) return answer(503, "the router ends");
-  owner_.request_received(*this, request);
+  owner_.request_received(*this, request, received_at);
 }
 
 void ClientConnection::reject(int status, std::string_view why) {
@@ -288,7 +296,7 @@
 // plain close with unread input would reset the connection, and the client could lose the answer.
 void ClientConnection::linger(double seconds) {
   state_ = State::lingering;
-  in_.consume(in_.size());
+  discard_input();
   boost::system::error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   set_timeout(now() + seconds);
--- a/src/clients/connection.hpp
+++ b/src/clients/connection.hpp
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "buffers/ring_buffer.hpp"
+#include "clients/arrival_times.hpp"
 #include "clients/http_messages.hpp"
 #include "queries/timer_queue.hpp"
 #include "timeline/event.hpp"
@@ -23,7 +24,9 @@
   class Owner {
    public:
     virtual ~Owner() = default;
-    virtual void request_received(ClientConnection& connection, const Request& request) = 0;
+    // received_at: when its last byte was received; a pipelined request has waited since then.
+    virtual void request_received(ClientConnection& connection, const Request& request,
+                                  double received_at) = 0;
     // The client disconnected while its request is unanswered.
     virtual void client_disconnected(ClientConnection& connection) = 0;
     virtual void connection_closed(ClientConnection& connection) = 0;
@@ -63,6 +66,7 @@
   void read();
   void read_some();
   void process_input();
+  void discard_input();
   void parse_request();
   void set_timeout(double at);
   void on_timeout();
@@ -97,6 +101,7 @@
   int status_ = 0;                 // of the answer being written
   std::size_t drained_bytes_ = 0;  // discarded after the last answer
   RingBuffer in_, out_;
+  ArrivalTimes arrival_times_;  // of the bytes in in_
   std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
 };
 
--- a/src/clients/listener.cpp
+++ b/src/clients/listener.cpp
@@ -179,9 +179,9 @@
   timers_.cancel(timer_key_);
 }
 
-void ClientListener::request_received(ClientConnection& connection,
-                                      const ClientConnection::Request& request) {
-  handler_.request_received(connection.id(), request);
+void ClientListener::request_received(ClientConnection& connection, const ClientConnection::Request& request,
+                                      double received_at) {
+  handler_.request_received(connection.id(), request, received_at);
 }
 
 void ClientListener::client_disconnected(ClientConnection& connection) {
--- a/src/clients/listener.hpp
+++ b/src/clients/listener.hpp
@@ -17,7 +17,8 @@
   class RequestHandler {
    public:
     virtual ~RequestHandler() = default;
-    virtual void request_received(int connection, const ClientConnection::Request& request) = 0;
+    virtual void request_received(int connection, const ClientConnection::Request& request,
+                                  double received_at) = 0;
     virtual void client_disconnected(int connection) = 0;  // while its request is unanswered
     // Events of the client ingress for the timeline; the figures are described at What.
     virtual void ingress_event(What what, std::uint8_t why, int connection, std::uint32_t address, double a,
@@ -46,7 +47,8 @@
   // made: a connection was closed or is being closed. unread: each that could be closed may have a request.
   enum class RoomResult { made, unread, none };
 
-  void request_received(ClientConnection& connection, const ClientConnection::Request& request) override;
+  void request_received(ClientConnection& connection, const ClientConnection::Request& request,
+                        double received_at) override;
   void client_disconnected(ClientConnection& connection) override;
   void connection_closed(ClientConnection& connection) override;
   void connection_event(ClientConnection& connection, What what, double a, double b) override;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -571,7 +571,7 @@
 
 // --- clients
 
-void Router::request_received(int connection, const ClientConnection::Request& request) {
+void Router::request_received(int connection, const ClientConnection::Request& request, double received_at) {
   try {
     if (request.target() == "/_health") {
       if (request.method() != boost::beast::http::verb::get) throw BadRequest(405, "health is a GET");
@@ -583,7 +583,7 @@
     auto query = parse_query_request(request, query_schema_);
     // Nodes' answers are matched by this id: an answer to one query would be taken for one to the other.
     if (open_ids_.contains(query.id)) throw BadRequest(409, "X-Txn names a query that is open");
-    accept_query(connection, std::move(query));
+    accept_query(connection, std::move(query), received_at);
   } catch (const BadRequest& error) {
     ++counters_.bad_requests;
     log_.line("bad_request", "status={} why=\"{}\"", error.status, error.what());
@@ -591,13 +591,13 @@
   }
 }
 
-void Router::accept_query(int connection, QueryRequest request) {
+void Router::accept_query(int connection, QueryRequest request, double received_at) {
   const auto at = now();
   const auto number = ++last_query_number_;
   ++counters_.accepted;
   Query query;
   query.vertical = request.vertical;
-  query.deadline = at + request.remaining;
+  query.deadline = received_at + request.remaining;
   // A query that arrives this late must be answered before SIGKILL.
   if (phase_ == Phase::draining) query.deadline = std::min(query.deadline, shutdown_.answer_deadline());
   query.client_retry = request.client_retry;
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -108,7 +108,8 @@
   void connection_limit_reached() override;
   void ingress_event(What what, std::uint8_t why, int connection, std::uint32_t address, double a,
                      double b) override;
-  void request_received(int connection, const ClientConnection::Request& request) override;
+  void request_received(int connection, const ClientConnection::Request& request,
+                        double received_at) override;
   void client_disconnected(int connection) override;
   void list_received(const MemberList& list) override;
   double started_at(const Member& member);
@@ -127,7 +128,7 @@
   void update_version_reporter(double at);
   bool reload_operators();  // false: the file could not be used and the previous settings stay
 
-  void accept_query(int connection, QueryRequest request);
+  void accept_query(int connection, QueryRequest request, double received_at);
   void start_second_step(long long query, double at);
   int store_value(PendingQuery& query, int leaf, std::string value);
   void drop_value(long long query, int leaf);
--- a/tests/ending_test.cpp
+++ b/tests/ending_test.cpp
@@ -4,6 +4,7 @@
 
 #include <thread>
 
+#include "clients/arrival_times.hpp"
 #include "test_cluster.hpp"
 
 using namespace yoketurn;
@@ -206,6 +207,41 @@
   CHECK(cluster.received_parts() == parts);
 }
 
+// Guards against final answers seconds after a client's time: the time of a pipelined request began when it
+// was parsed, after the answer to the one before it, and its parts were sent though nobody waited any more.
+TEST_CASE("the time of pipelined requests is counted from their last byte") {
+  constexpr int kRequests = 4;
+  TestCluster cluster;
+  PendingParts pending;
+  hold_all_parts(cluster, pending);
+  TestClient client(cluster);
+  std::string requests;
+  for (int i = 0; i < kRequests; ++i)
+    requests += query_request("change", {1}, "p" + std::to_string(i), "500m");
+  client.send(requests);
+  const auto sent_at = now();
+  for (int i = 0; i < kRequests; ++i) {
+    CAPTURE(i);
+    CHECK(client.answer() != 0);
+    CHECK(now() - sent_at < 0.55);
+  }
+  for (const auto& [part, from] : pending) CHECK(part.id.starts_with("p0."));
+}
+
+TEST_CASE("a request counts as received when its last byte was") {
+  ArrivalTimes times;
+  times.add(10, 1);
+  times.add(5, 1.01);  // with those before
+  times.add(7, 1.5);
+  CHECK(times.take(12) == 1);
+  CHECK(times.take(4) == 1.5);
+  CHECK(times.take(0) == 1.5);
+  CHECK(times.take(6) == 1.5);
+  CHECK(times.size() == 0);
+  for (int i = 0; i < 1000; ++i) times.add(1, 2 + i * 1e-3);
+  CHECK(times.size() <= 51);
+}
+
 TEST_CASE("pipelined requests get an answer each before the connection ends, but are not served") {
   PendingQueryFixture fixture(query_request("look", {1}, "a") + query_request("look", {2}, "b") +
                               query_request("change", {3}, "c"));
