Take no standstill of the router for the silence of a node

Cause: on_router_stall kept the evidence of parts that had ended unanswered before the stall, with the time since when the node is silent. One part lost before a stall of 1.1 s and one after it made a silence of over a second.

Change: a stall takes back that evidence. The test that failed names the departures now when it fails; its check is as it was.

The new test fails before (suite departures).

--- a/src/anomalies/anomaly_detector.cpp
+++ b/src/anomalies/anomaly_detector.cpp
@@ -264,11 +264,18 @@
 }
 
 // Calls that were pending during the stall may have been answered meanwhile: their waiting times are shifted
-// by the length of the stall, and the outcomes of calls sent before its end are not learned from.
+// by the length of the stall, and the outcomes of calls sent before its end are not learned from. Nor do
+// those that ended unanswered before it count: a silence would otherwise include the time of the stall.
 void AnomalyDetector::on_router_stall(double seconds, double now) {
   ignored_before_ = now;
   for (auto& node : nodes_) {
     for (auto& call : node.pending_calls) call.waiting_since = std::min(call.waiting_since + seconds, now);
+    node.silence_evidence = node.closed_load_evidence = 0;
+    node.unanswered_calls = 0;
+    for (auto& state : node.verticals) {
+      state.silence_evidence = 0;
+      state.unanswered_calls = 0;
+    }
     if (node.report_measured_at > 0)
       node.report_measured_at = std::min(node.report_measured_at + seconds, now);
   }
--- a/tests/departures_test.cpp
+++ b/tests/departures_test.cpp
@@ -122,6 +122,38 @@
   for (now = sent + 3; now < sent + 30; now += 0.1) CHECK(detector.tick(now).empty());
 }
 
+// Guards against a sound node that is reported for a silence in which the router itself did not run: one part
+// unanswered before a stall of the router and one after it were taken for one long silence.
+TEST_CASE("parts that are unanswered before and after a stall of the router are not one silence") {
+  constexpr int kSoundCalls = 50;
+  constexpr double kLatency = 0.005, kUnansweredSeconds = 0.03, kStallSeconds = 1.1;
+  AnomalyDetector detector(AnomalyLimits{}, 1, 0);
+  detector.add_node(0, 0, 0);
+  detector.set_node_up(0, true, 0);
+  double at = 0;
+  const auto call = [&](Outcome outcome, double seconds) {
+    detector.on_call_sent(0, 0, at);
+    const auto sent_at = at;
+    at += seconds;
+    detector.on_call_ended(0, 0, outcome, sent_at, at);
+  };
+  for (int i = 0; i < kSoundCalls; ++i) call(Outcome::success, kLatency);
+  call(Outcome::cancelled, kUnansweredSeconds);
+  at += kStallSeconds;
+  detector.on_router_stall(kStallSeconds, at);
+  call(Outcome::cancelled, kUnansweredSeconds);
+  detector.on_load_response(0, at);
+  for (int tick = 0; tick < 10; ++tick) CHECK(shown(detector.tick(at + tick * 0.1)).empty());
+  SUBCASE("a silence that goes on after it is reported") {
+    call(Outcome::cancelled, kUnansweredSeconds);
+    call(Outcome::cancelled, kUnansweredSeconds);
+    std::vector<AnomalyEvent> events;
+    for (int tick = 0; tick < 10 && events.empty(); ++tick) events = detector.tick(at += 0.1);
+    REQUIRE(!events.empty());
+    CHECK(events[0].node == 0);
+  }
+}
+
 // Guards against a stalled node that is never reported because the router avoids it from the first silent
 // part on, so that there is too little evidence.
 TEST_CASE(
--- a/tests/observed_test.cpp
+++ b/tests/observed_test.cpp
@@ -212,6 +212,7 @@
   const auto still = events_of(cluster, What::stood_still);
   REQUIRE(!still.empty());
   CHECK(still[0].a > 1);
+  CAPTURE(fmt::format("{}", fmt::join(departed(cluster), ", ")));
   CHECK(departed(cluster).empty());
 }
 
