Move what the kernel tells of its send queue out of the node connection

NodeConnection held the ioctls and socket options of Linux beside its own logic, as functions of numbers. They are functions with names now, in a module of their own (src/datanodes/send_queue).

--- a/src/datanodes/connection.cpp
+++ b/src/datanodes/connection.cpp
@@ -1,10 +1,6 @@
 #include "datanodes/connection.hpp"
 
 #include <fmt/format.h>
-#include <linux/sockios.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -12,6 +8,7 @@
 #include <iterator>
 
 #include "buffers/socket_errors.hpp"
+#include "datanodes/send_queue.hpp"
 #include "queries/clock.hpp"
 
 namespace yoketurn {
@@ -25,9 +22,6 @@
 constexpr double kHandshakeGraceSeconds = 0.04;
 // From building a frame to its last byte: the time left that it tells the node is out of date by as much.
 constexpr double kMaxFrameAgeSeconds = 0.1;
-// Values of TCP_NOTSENT_LOWAT: unsent bytes in the kernel from which on a socket doesn't count as writable.
-constexpr int kWritableWhenAllSent = 1;
-constexpr int kWritableBySendBuffer = 0;      // by the room in the send buffer alone
 constexpr std::size_t kMaxReadsPerTurn = 16;  // of one connection, before the event loop goes on with others
 constexpr std::size_t kMaxFinalReads = 1024;  // of what a socket still holds after a write to it has failed
 
@@ -219,28 +213,20 @@
   waits_writable_ = true;
   socket_.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this()](const auto& error) {
     self->waits_writable_ = false;
-    if (self->socket_.is_open()) self->set_writable_limit(kWritableBySendBuffer);
+    if (self->socket_.is_open())
+      set_writable_when(self->socket_.native_handle(), WritableWhen::room_in_send_buffer);
     if (error != asio::error::operation_aborted) self->write_after_reads();
   });
 }
 
 // Returns false if the kernel holds bytes that it couldn't send; the next call is written once it has.
 bool NodeConnection::kernel_has_sent_all() {
-  if (queued_bytes(SIOCOUTQNSD) == 0 || !set_writable_limit(kWritableWhenAllSent)) return true;
+  const auto handle = socket_.native_handle();
+  if (unsent_bytes(handle) == 0 || !set_writable_when(handle, WritableWhen::all_sent)) return true;
   wait_writable();
   return false;
 }
 
-// Sets how many unsent bytes the kernel may hold while the socket counts as writable. Returns false if the
-// kernel doesn't support that.
-bool NodeConnection::set_writable_limit(int bytes) {
-  const auto handle = socket_.native_handle();
-  int in_effect = 0;
-  socklen_t size = sizeof in_effect;
-  return ::setsockopt(handle, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes, sizeof bytes) == 0 &&
-         ::getsockopt(handle, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &in_effect, &size) == 0 && in_effect == bytes;
-}
-
 // Writes what has waited once the event loop has passed on what other sockets have brought: after a hold-up
 // of the router a client may have left whose parts are waiting here.
 void NodeConnection::write_after_reads() {
@@ -308,21 +294,13 @@
       call->second.frame_end = frame_end;
 }
 
-// Bytes that the kernel holds until the node's machine acknowledges them (SIOCOUTQ), or of them those that it
-// hasn't sent yet (SIOCOUTQNSD). 0 if it can't tell.
-std::uint64_t NodeConnection::queued_bytes(unsigned long request) {
-  int count = 0;
-  if (::ioctl(socket_.native_handle(), request, &count) != 0 || count < 0) return 0;
-  return static_cast<std::uint64_t>(count);
-}
-
 std::uint64_t NodeConnection::frame_end(const std::string& id) const {
   const auto call = pending_calls_.find(id);
   return call == pending_calls_.end() ? 0 : call->second.frame_end;
 }
 
 bool NodeConnection::is_undelivered(std::uint64_t frame_end) {
-  return state_ == State::open && frame_end + queued_bytes(SIOCOUTQ) > written_bytes_;
+  return state_ == State::open && frame_end + unacknowledged_bytes(socket_.native_handle()) > written_bytes_;
 }
 
 // --- reading
@@ -510,7 +488,8 @@
   timers_.cancel(timer_key_);
   boost::system::error_code ignored;
   // An orderly close would still send what the kernel holds: parts that nobody waits for.
-  if (queued_bytes(SIOCOUTQ) > 0) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  if (unacknowledged_bytes(socket_.native_handle()) > 0)
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   socket_.close(ignored);
   queued_calls_.clear();
   const auto self = shared_from_this();
--- a/src/datanodes/connection.hpp
+++ b/src/datanodes/connection.hpp
@@ -132,9 +132,7 @@
   void drop_expired_parts(double now);
   std::string encode_call(std::span<const OutgoingPart> parts, double now) const;
   void mark_written(std::span<const OutgoingPart> parts, std::uint64_t frame_end);
-  std::uint64_t queued_bytes(unsigned long request);
   bool kernel_has_sent_all();
-  bool set_writable_limit(int bytes);
   bool heard() const { return last_received_ > 0; }
   bool has_unread_bytes() const;
   void close_if_unheard();
