Probe a node that is not heard yet, when a call waits for it or its part is given up

Cause: a node counted as heard only when it answered a part, long after its handshake was over. For the same reason a connection was closed over a part that was given up, though its node had long read it.

Change: where the settings allow probes, one H is sent on a connection whose node is not heard, when a call has to wait behind the first or a part on it is given up. Its answer comes when the handshake is over. One a connection at most, and none where a lone call is answered. Frames H and M that take in the next frame are refused alike.

The new test fails before. Suites network and router and the fault tests pass.

--- a/examples/standin.hpp
+++ b/examples/standin.hpp
@@ -196,6 +196,7 @@
   void came(Session& session) override {
     for (Frame frame; decode_frame(session.in, frame) == FrameStatus::complete;) {
       if (frame.type == 'C') on_give_up(frame.payload);
+      if (frame.type == 'H') session.say(yoketurn::encode_frame('H', "done"));
       if (frame.type == 'M')
         if (const auto report = on_load(); !report.empty()) session.say(yoketurn::encode_frame('M', report));
       if (frame.type != 'S') continue;
--- a/src/datanodes/connection.cpp
+++ b/src/datanodes/connection.cpp
@@ -128,7 +128,8 @@
 //
 // A node reads nothing before its handshake is over, and then all that was written meanwhile, a part before
 // its cancellation. So only one call is written to a connection before the node is heard on it: to take it
-// back ends no other call, and those that wait behind it can be withdrawn.
+// back ends no other call, and those that wait behind it can be withdrawn. The answer to a probe shows that
+// the handshake is over long before the answer to the call may come.
 //
 // What the kernel has taken can't be taken back but by closing the connection, with the calls of others on
 // it. So no call is written while the kernel holds bytes for a node that takes nothing: at most one frame
@@ -169,7 +170,12 @@
 bool NodeConnection::write_next_call() {
   const auto at = now();
   drop_expired_parts(at);
-  if (queued_calls_.empty() || awaits_first_answer() || !kernel_has_sent_all()) return false;
+  if (queued_calls_.empty()) return false;
+  if (awaits_first_answer()) {
+    probe_once();
+    return false;
+  }
+  if (!kernel_has_sent_all()) return false;
   const auto frame = encode_call(queued_calls_.front(), at);
   std::size_t written = 0;
   if (!write_some(frame, written)) return false;
@@ -358,16 +364,20 @@
     if (status == FrameStatus::malformed || !process_frame(frame)) return close_malformed();
     if (state_ != State::open) return;
   }
-  // No answer or report is pending: these bytes belong to none and would corrupt the next answer.
-  if (receive_buffer_.size() > 0 && idle() && load_requested_at_ <= 0) return close_malformed();
+  // No answer is pending: these bytes belong to none and would corrupt the next one.
+  const auto expects_bytes = !idle() || load_requested_at_ > 0 || probe_pending_;
+  if (receive_buffer_.size() > 0 && !expects_bytes) return close_malformed();
   update_partial_frame_timer();
   receive_buffer_.release();
 }
 
 bool NodeConnection::process_frame(const Frame& frame) {
-  if (frame.type == 'H') return true;  // the answer to a probe; this router sends none
+  if (frame.type != 'R' && !is_printable_ascii(frame.payload)) return false;  // it takes in the next frame
+  if (frame.type == 'H') {
+    probe_pending_ = false;
+    return true;
+  }
   if (frame.type == 'M') {
-    if (!is_printable_ascii(frame.payload)) return false;  // it takes in the next frame
     if (load_requested_at_ > 0)
       owner_.load_reported(*this, frame.payload, std::exchange(load_requested_at_, 0));
     return true;
@@ -417,9 +427,18 @@
 
 void NodeConnection::close_unless_heard_soon() {
   if (state_ != State::open || !awaits_first_answer()) return;
+  probe_once();
   timers_.schedule_once(now() + kHandshakeGraceSeconds, weak_from_this(), &NodeConnection::close_if_unheard);
 }
 
+// Asks the node to say something: it answers as soon as its handshake is over.
+void NodeConnection::probe_once() {
+  if (probe_sent_ || !limits_.probes_allowed || frame_abandoned_) return;
+  if (!send_buffer_.append(encode_probe_frame())) return;
+  probe_sent_ = probe_pending_ = true;
+  if (!waits_writable_) write_buffered();
+}
+
 void NodeConnection::close_if_unheard() {
   if (state_ != State::open || heard() || has_unread_bytes()) return;
   close(Closing::retired, "the node was not heard after its first call was given up", Outcome::cancelled,
--- a/src/datanodes/connection.hpp
+++ b/src/datanodes/connection.hpp
@@ -43,6 +43,7 @@
     std::size_t max_parts_per_call = 1;
     double connect_timeout = 0;  // seconds
     double idle_timeout = 0;     // seconds after which the node closes an idle connection
+    bool probes_allowed = false;
   };
 
   class Owner {
@@ -63,8 +64,8 @@
   // Whether these parts can be sent on this connection.
   bool can_send(std::span<const OutgoingPart> parts, double now) const;
   // Sends the parts as one call, in one frame, as soon as the connection is up and the socket has room.
-  // Until the node is heard only the first call is written. Those behind it wait for that, for
-  // connect_timeout at most, and end as `unsent` then.
+  // Until the node is heard only the first call is written, and a probe if others wait behind it, where
+  // probes are allowed. They wait for that, for connect_timeout at most, and end as `unsent` then.
   void send(std::vector<OutgoingPart> parts, double now);
   // Sends the node a cancellation. The owner isn't notified of this call any more; an answer that still
   // arrives is dropped. Returns true if this made the connection retire: it takes no new calls from now on.
@@ -96,8 +97,9 @@
   // Whether the first call was written and the node has sent nothing yet: it may still be in its handshake.
   bool awaits_first_answer() const { return first_call_written_at_ > 0 && !heard(); }
   // Call when a written part is not wanted any more. A node in its handshake would read the part after it,
-  // with the cancellation only behind it: if the node isn't heard soon the connection is closed. The call
-  // that was written ends as `cancelled`, those that wait as `unsent`.
+  // with the cancellation only behind it: if the node isn't heard soon the connection is closed. A node whose
+  // handshake is over is heard, as it answers a probe, where probes are allowed. When the connection is
+  // closed the call that was written ends as `cancelled`, those that wait as `unsent`.
   void close_unless_heard_soon();
 
  private:
@@ -135,6 +137,7 @@
   bool kernel_has_sent_all();
   bool heard() const { return last_received_ > 0; }
   bool has_unread_bytes() const;
+  void probe_once();
   void close_if_unheard();
   void end_queued_calls_if_unheard();
   bool is_partially_written(const std::string& id) const;
@@ -164,7 +167,9 @@
   double connect_started_at_ = 0;
   double connected_at_ = 0;
   double first_call_written_at_ = 0;  // 0: none was
-  double load_requested_at_ = 0;      // 0: no report is pending
+  bool probe_sent_ = false;
+  bool probe_pending_ = false;    // sent and not answered
+  double load_requested_at_ = 0;  // 0: no report is pending
   std::uint64_t written_bytes_ = 0;
   RingBuffer receive_buffer_, send_buffer_;
   std::deque<std::vector<OutgoingPart>> queued_calls_;  // no byte of them was written
--- a/src/datanodes/frames.cpp
+++ b/src/datanodes/frames.cpp
@@ -60,6 +60,10 @@
   return encode_frame('C', id);
 }
 
+std::string encode_probe_frame() {
+  return encode_frame('H', "");
+}
+
 bool can_start_frame(const RingBuffer& buffer) {
   if (buffer.size() == 0) return true;
   const auto length = peek_length(buffer);
--- a/src/datanodes/frames.hpp
+++ b/src/datanodes/frames.hpp
@@ -4,8 +4,8 @@
 //   C  cancels a part: its id
 //   M  from the router: requests a load report, without payload; from the node: the report
 //   R  the answer to a part: a line "id end score ...", then the value
-// A node may also send H, the answer to a probe, which this router doesn't send. F is a known type, but a
-// connection on which it arrives is closed.
+//   H  from the router: a probe, without payload; from the node: its answer
+// F is a known type, but a connection on which it arrives is closed.
 #pragma once
 
 #include <optional>
@@ -34,6 +34,7 @@
 std::string encode_frame(char type, std::string_view payload);
 std::string encode_call_frame(std::span<const PartRequest> parts);
 std::string encode_cancel_frame(std::string_view id);
+std::string encode_probe_frame();
 
 struct Frame {
   char type = 0;
--- a/src/datanodes/pool.cpp
+++ b/src/datanodes/pool.cpp
@@ -179,8 +179,8 @@
     if (pending == pending_calls_.end()) continue;
     const auto connection = pending->second.connection.lock();
     if (!connection) continue;
-    connection->close_unless_heard_soon();
     check_delivery_later(connection, connection->frame_end(pending->second.id), now());
+    connection->close_unless_heard_soon();  // may close it at once, and end its calls
   }
 }
 
--- a/src/days/terms.cpp
+++ b/src/days/terms.cpp
@@ -20,7 +20,7 @@
   for (const auto& of : day.sites) zones += fmt::format("{}\"{}\"", zones.empty() ? "" : ",", of.name);
   return fmt::format(
       R"({{"balancers":{},"resolution_us":1000,"zone":"{}","zones":[{}],"worth_by":"work","discovery":"push",)"
-      R"("bounds":{{"cancel":true,"max_attempts":3,"may_duplicate":true,"retry_after":true,)"
+      R"("bounds":{{"cancel":true,"max_attempts":3,"may_duplicate":true,"probes":true,"retry_after":true,)"
       R"("max_retry_after_us":500000,"max_open":{},"streams_per_conn":100,"connect_timeout_us":{:.0f},)"
       R"("conn_idle_us":{:.0f}}},"classes":[{}],"customers":[],)"
       R"("contract":{{"cold_us":{:.0f},"fall_multiple":{},"overload_for_us":{:.0f},"start_capacity":{}}},)"
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -85,7 +85,8 @@
 
 NodeConnection::Limits node_limits(const ConnectionLimits& bounds) {
   return {static_cast<std::size_t>(bounds.max_parts_per_connection),
-          static_cast<std::size_t>(bounds.max_parts_per_call), bounds.connect_timeout, bounds.idle_timeout};
+          static_cast<std::size_t>(bounds.max_parts_per_call), bounds.connect_timeout, bounds.idle_timeout,
+          bounds.probes_allowed};
 }
 
 QuerySchema make_query_schema(const Config& config) {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -216,6 +216,7 @@
   limits.max_parts_per_call = read.count("domain.parts_a_call", 1);
   limits.connect_timeout = read.seconds("bounds.connect_timeout_us");
   limits.idle_timeout = read.seconds("bounds.conn_idle_us");
+  limits.probes_allowed = setup.contains("bounds.probes") && read.flag("bounds.probes");
   const auto verticals = read_names(setup, "classes").size();
   for (std::size_t i = 0; i < verticals; ++i)
     limits.max_client_wait =
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -43,7 +43,8 @@
   int max_parts_per_connection = 1;
   int max_parts_per_call = 1;
   double connect_timeout = 0;
-  double idle_timeout = 0;     // after which a node closes an idle connection
+  double idle_timeout = 0;  // after which a node closes an idle connection
+  bool probes_allowed = false;
   double max_client_wait = 0;  // longest time that a client of any vertical waits, its retries included
 };
 ConnectionLimits read_connection_limits(const SettingsMap& setup);  // throws InputError
--- a/tests/node_connection_test.cpp
+++ b/tests/node_connection_test.cpp
@@ -52,7 +52,8 @@
 // A pool that knows one node, whose side of the connection is played by the test. The pool runs only in
 // run_for and run_until.
 struct PoolWithNode {
-  explicit PoolWithNode(double idle_timeout = 15) : limits{kMaxParts, kLargeQueries, 1, idle_timeout} {
+  explicit PoolWithNode(double idle_timeout = 15, bool probes_allowed = false)
+      : limits{kMaxParts, kLargeQueries, 1, idle_timeout, probes_allowed} {
     pool.set_node(0, acceptor.local_endpoint(), 0, false);
   }
   void send(long long query, std::string text, double timeout = 3, double send_timeout = kNoSendTimeout) {
@@ -590,6 +591,60 @@
   CHECK(router.outcomes.connections == 1);
 }
 
+// Guards against connections that are closed though their handshake is over, and calls that wait for as long
+// as the first part of a connection takes: the router took a node for unheard until that part was answered.
+TEST_CASE("a node that answers a probe is heard, though it has not answered its first part yet") {
+  PoolWithNode router(15, true);
+  router.send(1, "text");
+  REQUIRE(router.run_until([&] { return router.outcomes.connections == 1; }));
+  router.run_for(std::chrono::milliseconds(5));
+  auto node = router.acceptor.accept();
+  CHECK(PoolWithNode::next_payload(node).starts_with("q1.0"));
+  SUBCASE("calls that waited behind the first one are written") {
+    for (const auto query : {2, 3}) router.send(query, "text");
+    router.run_for(std::chrono::milliseconds(5));
+    REQUIRE(PoolWithNode::read_buffered(node) == encode_probe_frame());
+    asio::write(node, asio::buffer(encode_frame('H', "done")));
+    router.run_for(std::chrono::milliseconds(5));
+    CHECK(PoolWithNode::next_payload(node).starts_with("q2.0"));
+    CHECK(PoolWithNode::next_payload(node).starts_with("q3.0"));
+    CHECK(router.outcomes.connections == 1);
+  }
+  SUBCASE("its connection is not closed over a part that was cancelled") {
+    router.pool.cancel({1, 0, 0}, Outcome::cancelled);
+    CHECK(PoolWithNode::next_payload(node) == "q1.0");
+    CHECK(PoolWithNode::read_buffered(node) == encode_probe_frame());
+    asio::write(node, asio::buffer(encode_frame('H', "failed")));
+    router.run_for(std::chrono::milliseconds(100));
+    CHECK(router.outcomes.closed_connections == 0);
+  }
+  SUBCASE("nor over a part whose query has ended") {
+    router.pool.on_query_ended(1);
+    CHECK(PoolWithNode::read_buffered(node) == encode_probe_frame());
+    asio::write(node, asio::buffer(encode_frame('H', "done")));
+    router.run_for(std::chrono::milliseconds(100));
+    CHECK(router.outcomes.closed_connections == 0);
+  }
+  SUBCASE("without an answer to the probe it is closed") {
+    router.send(2, "text");
+    router.pool.on_query_ended(1);
+    router.run_for(std::chrono::milliseconds(45));  // within the protocol's slack of 50 ms
+    CHECK(router.outcomes.closed_connections == 1);
+    CHECK(router.outcomes.by_query[2] == Outcome::unsent);
+  }
+  SUBCASE("an answer to a probe may arrive in pieces on an idle connection") {
+    router.pool.on_query_ended(1);
+    const auto heard = encode_frame('H', "done");
+    answer(node, "q1.0");
+    REQUIRE(router.run_until([&] { return router.ended(1); }));
+    asio::write(node, asio::buffer(heard.substr(0, 3)));
+    router.run_for(std::chrono::milliseconds(20));
+    asio::write(node, asio::buffer(heard.substr(3)));
+    router.run_for(std::chrono::milliseconds(20));
+    CHECK(router.outcomes.closed_connections == 0);
+  }
+}
+
 TEST_CASE("calls that wait for their node to be heard go elsewhere after the connect timeout") {
   PoolWithNode router;
   for (const auto query : {1, 2}) router.send(query, "text");
