Take a deduplicated part back at its window's end, where its node is not heard

What could be seen: a deduplicated part, repeated within its window on a connection whose handshake is late, is read by the node and run after the window, in which nodes drop repeats: it takes effect twice.

Cause: on_send_timeout asked whether the node's machine has received the part, and not whether the node has read anything. The other ways in which a written part must not start any more (its query's end, its client's leaving, its cancellation) ask for both since.

Change: take_back_if_unread does both, for the end of a query and for the end of the window.

--- a/src/datanodes/pool.cpp
+++ b/src/datanodes/pool.cpp
@@ -152,7 +152,14 @@
   const auto pending = pending_calls_.find(ref);
   if (pending == pending_calls_.end()) return;
   if (const auto connection = pending->second.connection.lock())
-    check_delivery_later(connection, connection->frame_end(pending->second.id), now);
+    take_back_if_unread(connection, connection->frame_end(pending->second.id), now);
+}
+
+// Call when a written part must not start any more. May close the connection at once, and end its calls.
+void ConnectionPool::take_back_if_unread(const std::shared_ptr<NodeConnection>& connection,
+                                         std::uint64_t frame_end, double now) {
+  check_delivery_later(connection, frame_end, now);
+  connection->close_unless_heard_soon();
 }
 
 // The kernel may hold a part for a node that takes nothing. It would deliver it whenever the node comes back,
@@ -178,9 +185,7 @@
     const auto pending = pending_calls_.find(ref);
     if (pending == pending_calls_.end()) continue;
     const auto connection = pending->second.connection.lock();
-    if (!connection) continue;
-    check_delivery_later(connection, connection->frame_end(pending->second.id), now());
-    connection->close_unless_heard_soon();  // may close it at once, and end its calls
+    if (connection) take_back_if_unread(connection, connection->frame_end(pending->second.id), now());
   }
 }
 
--- a/src/datanodes/pool.hpp
+++ b/src/datanodes/pool.hpp
@@ -71,6 +71,8 @@
 
   void withdraw(const CallRef& ref);
   void on_send_timeout(const CallRef& ref, double now);
+  void take_back_if_unread(const std::shared_ptr<NodeConnection>& connection, std::uint64_t frame_end,
+                           double now);
   void check_delivery_later(const std::shared_ptr<NodeConnection>& connection, std::uint64_t frame_end,
                             double now);
   void call_ended(const CallRef& ref, Outcome outcome, double score, std::string_view value) override;
--- a/tests/node_connection_test.cpp
+++ b/tests/node_connection_test.cpp
@@ -645,6 +645,31 @@
   }
 }
 
+// Guards against a deduplicated part that takes effect twice: its repeat was written in time, but the node
+// read it after a late handshake, when nodes no longer drop it.
+TEST_CASE("a part on a connection whose node is not heard is taken back when its send timeout is over") {
+  constexpr double kSendTimeoutSeconds = 0.2;
+  PoolWithNode router;
+  router.send(1, "text", 3, kSendTimeoutSeconds);
+  REQUIRE(router.run_until([&] { return router.outcomes.connections == 1; }));
+  SUBCASE("the node is not heard") {
+    router.run_for(std::chrono::milliseconds(190));
+    CHECK(router.outcomes.closed_connections == 0);
+    router.run_for(std::chrono::milliseconds(60));  // the protocol's slack is 50 ms
+    CHECK(router.outcomes.closed_connections == 1);
+    CHECK(router.outcomes.by_query[1] == Outcome::cancelled);
+  }
+  SUBCASE("a node that was heard keeps it") {
+    auto node = router.acceptor.accept();
+    asio::write(node, asio::buffer(encode_frame('H', "done")));
+    router.run_for(std::chrono::milliseconds(300));
+    CHECK(!router.ended(1));
+    answer(node, "q1.0");
+    REQUIRE(router.run_until([&] { return router.ended(1); }));
+    CHECK(router.outcomes.by_query[1] == Outcome::success);
+  }
+}
+
 TEST_CASE("calls that wait for their node to be heard go elsewhere after the connect timeout") {
   PoolWithNode router;
   for (const auto query : {1, 2}) router.send(query, "text");
