Take the numbers of nodes and the parsing of load reports out of the router

router.cpp held three tables for the numbers of nodes, two of which mirrored the first, and the grammar of load reports.

--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <set>
 
+#include "datanodes/load_report.hpp"
 #include "queries/clock.hpp"
 
 namespace yoketurn {
@@ -20,7 +21,6 @@
 constexpr std::size_t kMakeRoomDivisor = 4;
 constexpr std::size_t kReservedSockets = 16;  // streams, event queue, timers, signals, listener, discovery
 constexpr std::size_t kNodeDivisor = 2;  // data nodes get at most 1 / kNodeDivisor of the other descriptors
-constexpr std::size_t kMaxTrackedNodes = 20'000;
 constexpr double kMinFullListIntervalSeconds = 2;    // of requests for the whole list because of its count
 constexpr double kVersionEventIntervalSeconds = 30;  // after which the timeline gets all versions again
 constexpr double kLateTickSeconds = 0.05;            // a tick this late is recorded as late
@@ -60,29 +60,6 @@
           settings.slow_start_time};
 }
 
-// The figures of a data node's load report.
-struct LoadReport {
-  double in_flight = 0, queue = 0;
-  double unix_seconds = 0;  // when it was measured; 0: not stated
-};
-// Accepts `=` and `:` between name and value. nullopt: unreadable, or without any known figure.
-std::optional<LoadReport> parse_load_report(std::string_view text) {
-  LoadReport report;
-  bool known = false;
-  for (const auto& pair : split(text, ',')) {
-    const auto at = pair.find_first_of("=:");
-    if (at == std::string::npos) return std::nullopt;
-    const auto name = std::string_view(pair).substr(0, at);
-    const auto value = parse_number(std::string_view(pair).substr(at + 1));
-    if (!value) return std::nullopt;
-    if (name == "inflight") report.in_flight = *value;
-    if (name == "queue") report.queue = *value;
-    if (name == "at_ms") report.unix_seconds = *value / 1e3;
-    known = known || name == "inflight" || name == "queue";
-  }
-  return known ? std::optional(report) : std::nullopt;
-}
-
 NodeConnection::Limits node_limits(const ConnectionLimits& bounds) {
   return {static_cast<std::size_t>(bounds.max_parts_per_connection),
           static_cast<std::size_t>(bounds.max_parts_per_call), bounds.connect_timeout, bounds.idle_timeout,
@@ -328,8 +305,8 @@
 void Router::record_known_nodes(double at) {
   for (const auto& member : members_.list().members) {
     const auto node = node_numbers_.find(member.id);
-    if (node == node_numbers_.end() || member.removed) continue;
-    recorder_->listed(node->second, member.id,
+    if (node == kNone || member.removed) continue;
+    recorder_->listed(node, member.id,
                       fmt::format("{}:{}", member.endpoint.address().to_string(), member.endpoint.port()),
                       member.up, started_at(member), members_.list().version, at);
   }
@@ -372,7 +349,8 @@
   };
   record_increase(Bound::judged, queries_.dropped_trace_entries(), last_unjudged_);
   record_increase(Bound::log, log_.dropped_lines(), last_lost_lines_);
-  for (const auto& [id, node] : node_numbers_) recorder_->believed(node, queries_.node_health(node, at), at);
+  for (const auto& [id, node] : node_numbers_.all())
+    recorder_->believed(node, queries_.node_health(node, at), at);
   if (segments_ && segments_->failures() > last_segment_failures_) {
     last_segment_failures_ = segments_->failures();
     log_.line("segment_failed", "why=\"{}\" folder=\"{}\"", segments_->trouble(),
@@ -422,11 +400,10 @@
     for (const auto& member : members_.list().members) {
       const auto node = node_numbers_.find(member.id);
       const auto belief = queries_.sites().health(find_index(zones_, member.zone));
-      if (node == node_numbers_.end() || (belief != SiteHealth::lost && belief != SiteHealth::cut_off))
-        continue;
-      nodes_in_lost_sites_.resize(
-          std::max(nodes_in_lost_sites_.size(), static_cast<std::size_t>(node->second) + 1));
-      nodes_in_lost_sites_[static_cast<std::size_t>(node->second)] = true;
+      if (node == kNone || (belief != SiteHealth::lost && belief != SiteHealth::cut_off)) continue;
+      const auto index = static_cast<std::size_t>(node);
+      nodes_in_lost_sites_.resize(std::max(nodes_in_lost_sites_.size(), index + 1));
+      nodes_in_lost_sites_[index] = true;
     }
   version_reporter_.tick(phase_ == Phase::draining, lost, nodes_in_lost_sites_, at);
   if (!recorder_ || at < next_version_events_at_) return;
@@ -787,8 +764,8 @@
   std::set<int> present;
   std::size_t ready = 0;
   for (const auto& member : list.members) {
-    if (member.removed && !node_numbers_.contains(member.id)) continue;
-    const auto node = node_number(member.id);
+    if (member.removed && node_numbers_.find(member.id) == kNone) continue;
+    const auto node = node_numbers_.assign(member.id);
     if (node == kNone) {
       log_.line("node_unknown", "id={} known={}", member.id, node_numbers_.size());
       continue;
@@ -807,16 +784,16 @@
     }
     if (member.removed) {
       pool_.retire_connections(node);
-      removed_nodes_.emplace(member.id, node);
+      node_numbers_.mark_removed(member.id);
     } else {
       pool_.set_node(node, member.endpoint, started, member.up);
-      removed_nodes_.erase(member.id);
+      node_numbers_.mark_listed(member.id);
     }
     if (member.up) ++ready;
   }
   if (list.full)
-    for (const auto& [id, node] : node_numbers_)
-      if (!present.contains(node) && removed_nodes_.emplace(id, node).second) {
+    for (const auto& [id, node] : node_numbers_.all())
+      if (!present.contains(node) && node_numbers_.mark_removed(id)) {
         pool_.retire_connections(node);
         if (recorder_) recorder_->left(node, list.version, now());
       }
@@ -831,30 +808,14 @@
   return node_ages_.started_at(member.id, member.started_at, now(), WallTime::now());
 }
 
-int Router::node_number(const std::string& node) {
-  if (const auto at = node_numbers_.find(node); at != node_numbers_.end()) return at->second;
-  if (node_numbers_.size() >= kMaxTrackedNodes) return kNone;
-  auto number = static_cast<int>(node_numbers_.size() + free_node_numbers_.size());
-  if (!free_node_numbers_.empty()) {
-    number = free_node_numbers_.back();
-    free_node_numbers_.pop_back();
-  }
-  node_numbers_.emplace(node, number);
-  return number;
-}
-
-// Releases the numbers of removed nodes that have no connection any more. Nodes are continually replaced by
-// others with new names; without reuse of their numbers, tables and the work on them would grow without
-// bound.
+// Forgets removed nodes that have no connection any more.
 void Router::release_node_numbers() {
   if (!call_results_.empty()) return;  // the queries still refer to these nodes by number
-  std::erase_if(removed_nodes_, [this](const auto& removed) {
-    if (pool_.has_connection(removed.second)) return false;
-    queries_.remove_node(removed.second);
-    if (recorder_) recorder_->forgotten(removed.second, now());
-    free_node_numbers_.push_back(removed.second);
-    node_ages_.node_removed(removed.first);
-    node_numbers_.erase(removed.first);
+  node_numbers_.release_removed([this](const std::string& id, int node) {
+    if (pool_.has_connection(node)) return false;
+    queries_.remove_node(node);
+    if (recorder_) recorder_->forgotten(node, now());
+    node_ages_.node_removed(id);
     return true;
   });
 }
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -17,6 +17,7 @@
 #include "datanodes/pool.hpp"
 #include "discovery/member_table.hpp"
 #include "discovery/node_ages.hpp"
+#include "discovery/node_numbers.hpp"
 #include "discovery/watch.hpp"
 #include "logging/log.hpp"
 #include "queries/answer_values.hpp"
@@ -117,7 +118,6 @@
   void watch_data_received() override;
   void stale_list_received(const MemberList& list) override;
   void list_unusable() override;
-  int node_number(const std::string& node);  // kNone: too many nodes are tracked
   void release_node_numbers();
 
   // Applies the operators' settings. Throws if that isn't possible; nothing has changed then.
@@ -169,9 +169,7 @@
   std::deque<CallResult> call_results_;        // since the last turn
   std::vector<long long> merged_first_steps_;  // queries whose second step starts this turn
   NodeAges node_ages_;
-  std::unordered_map<std::string, int> node_numbers_;
-  std::unordered_map<std::string, int> removed_nodes_;  // no longer listed, numbers not released yet
-  std::vector<int> free_node_numbers_;                  // released, to be reused
+  NodeNumbers node_numbers_;
   Counters counters_;
   double next_counters_log_at_ = 0;
   std::size_t pending_calls_ = 0;
