Send no new calls to a connection on which an answer has broken off

Cause: a connection whose answer has broken off is closed when the router notices, at the latest after the connect timeout, and took new calls until then, which were lost with it. Calls that have waited are all written when the first bytes arrive, also of such an answer.

Change: no new call goes to a connection on which a frame has been received in part, nothing more has arrived for 0.02 s and nothing lies unread in the socket.

The new test fails before (its first subcase). Suites network (51 cases) and router pass.

--- a/src/datanodes/connection.cpp
+++ b/src/datanodes/connection.cpp
@@ -20,6 +20,8 @@
 constexpr double kLoadReportTimeoutSeconds = 2;  // a report that is still missing is then requested again
 // For a node to be heard after a part on a new connection was given up; less than the protocol's slack.
 constexpr double kHandshakeGraceSeconds = 0.04;
+// Between two pieces of a received frame; after a longer one the rest is not expected to arrive.
+constexpr double kMaxFrameGapSeconds = 0.02;
 // From building a frame to its last byte: the time left that it tells the node is out of date by as much.
 constexpr double kMaxFrameAgeSeconds = 0.1;
 constexpr std::size_t kMaxReadsPerTurn = 16;  // of one connection, before the event loop goes on with others
@@ -104,6 +106,7 @@
   if (idle() && state_ == State::open && now >= last_used_ + limits_.idle_timeout - limits_.connect_timeout)
     return false;
   if (awaits_first_answer() && now >= first_call_written_at_ + limits_.connect_timeout) return false;
+  if (is_reception_stalled(now)) return false;
   if (pending_calls_.size() + cancelled_ids_.size() + parts.size() > limits_.max_parts) return false;
   // An answer names the part, not the call, so two calls of one part can't share a connection.
   return std::none_of(parts.begin(), parts.end(), [&](const OutgoingPart& part) {
@@ -111,6 +114,12 @@
   });
 }
 
+// An answer that breaks off takes in those behind it, and ends the connection: a call that is sent now would
+// be lost with it.
+bool NodeConnection::is_reception_stalled(double now) const {
+  return partially_received_ && now >= last_received_ + kMaxFrameGapSeconds && !has_unread_bytes();
+}
+
 void NodeConnection::send(std::vector<OutgoingPart> parts, double now) {
   for (const auto& part : parts) pending_calls_[part.id] = {part.ref, now, 0};
   queued_calls_.push_back(std::move(parts));
--- a/src/datanodes/connection.hpp
+++ b/src/datanodes/connection.hpp
@@ -137,6 +137,7 @@
   bool kernel_has_sent_all();
   bool heard() const { return last_received_ > 0; }
   bool has_unread_bytes() const;
+  bool is_reception_stalled(double now) const;
   void probe_once();
   void close_if_unheard();
   void end_queued_calls_if_unheard();
--- a/tests/node_connection_test.cpp
+++ b/tests/node_connection_test.cpp
@@ -246,6 +246,40 @@
   CHECK(router.outcomes.by_query[2] == Outcome::malformed);
 }
 
+// Guards against parts that are lost with a connection on which an answer has broken off: new calls were
+// still sent there.
+TEST_CASE("a connection whose answer has broken off takes no new calls, until the rest arrives") {
+  PoolWithNode router;
+  auto node = router.connect();
+  router.send(1, "text");
+  CHECK(PoolWithNode::next_payload(node).starts_with("q1.0"));
+  const auto whole = encode_frame('R', "q1.0 done 7 -\nvalue");
+  asio::write(node, asio::buffer(whole.substr(0, 12)));
+  router.run_for(std::chrono::milliseconds(5));
+  router.send(2, "text");  // the rest may be on its way
+  CHECK(PoolWithNode::next_payload(node).starts_with("q2.0"));
+  router.run_for(std::chrono::milliseconds(30));
+  SUBCASE("it does not arrive") {
+    router.send(3, "text");
+    router.run_for(std::chrono::milliseconds(20));
+    REQUIRE(router.outcomes.connections == 2);
+    auto second = router.acceptor.accept();
+    CHECK(PoolWithNode::next_payload(second).starts_with("q3.0"));
+  }
+  SUBCASE("it arrives") {
+    asio::write(node, asio::buffer(whole.substr(12)));
+    REQUIRE(router.run_until([&] { return router.ended(1); }));
+    router.send(3, "text");
+    CHECK(PoolWithNode::next_payload(node).starts_with("q3.0"));
+  }
+  SUBCASE("it lies in the socket, as the router was held up") {
+    asio::write(node, asio::buffer(whole.substr(12)));
+    router.send(3, "text");
+    CHECK(PoolWithNode::next_payload(node).starts_with("q3.0"));
+  }
+  CHECK(router.outcomes.by_query.count(2) == 0);
+}
+
 TEST_CASE("a load report that breaks off doesn't take in the answer behind it") {
   PoolWithNode router;
   auto node = router.connect();
